A stopping daemon no longer dials on for ever

Cause: an uplink cancelled just while its clean-up awaited the sending task under suppress(CancelledError) lost its own cancellation.

--- a/demo/drive.py
+++ b/demo/drive.py
@@ -77,26 +77,36 @@
     return -1.0
 
 
-async def routes_settled(plan: mesh.MeshPlan, targets: int) -> bool:
-    """Wait until every daemon routes to `targets` targets in all."""
+async def routes_settled(
+    plan: mesh.MeshPlan, public: list[str], targets: int
+) -> bool:
+    """Wait until every daemon routes to `targets` targets of `public`.
+
+    Internal services are held only where something depends on them.
+    """
     until = time.monotonic() + READY_S
     addresses = tuple(host.admin for host in plan.hosts)
     while time.monotonic() < until:
         asked = await operator.ask_all(
             addresses, '/v1/status', models.DaemonStatus
         )
-        counts = {
-            sum(len(route.endpoints) for route in one.page.routes)
-            if isinstance(one.page, models.DaemonStatus)
-            else -1
-            for one in asked
-        }
-        if counts == {targets}:
+        if {targets_of(one, public) for one in asked} == {targets}:
             return True
         await asyncio.sleep(0.05)
     return False
 
 
+def targets_of(asked: operator.Asked, services: list[str]) -> int:
+    """Count the targets of `services` in a daemon's table; -1 if silent."""
+    if not isinstance(asked.page, models.DaemonStatus):
+        return -1
+    return sum(
+        len(route.endpoints)
+        for route in asked.page.routes
+        if route.service in services
+    )
+
+
 async def call(
     client: httpclient.AsyncHTTPClient,
     host: mesh.PlannedHost,
@@ -122,13 +132,17 @@
     )
 
 
+def public_services(text: str) -> list[str]:
+    """Return the services that callers from outside may call."""
+    spec = operator.mesh_of(text, 'text')
+    return [name for name, one in spec.services.items() if not one.internal]
+
+
 async def send_calls(plan: mesh.MeshPlan, text: str) -> list[Received]:
     """Send calls to every daemon in turn, reads and writes mixed."""
     client = httpclient.AsyncHTTPClient(force_instance=True, max_clients=20)
     spec = operator.mesh_of(text, 'text')
-    services = [
-        name for name, one in spec.services.items() if not one.internal
-    ]
+    services = public_services(text)
     work = []
     for number in range(CALLS):
         service = services[number % len(services)]
@@ -149,6 +163,37 @@
         print(f'    {service}: {count} x {status} {outcome}')
 
 
+async def tell_request(
+    plan: mesh.MeshPlan, service: str, checks: Checks
+) -> None:
+    """Send one call and print its events, merged from every daemon."""
+    request_id = uuid.uuid4().hex[:16]
+    client = httpclient.AsyncHTTPClient(force_instance=True)
+    await client.fetch(
+        f'http://{plan.hosts[-1].caller}/',
+        headers={'Host': service, 'Peridot-Request-Id': request_id},
+        raise_error=False,
+    )
+    client.close()
+    asked = await operator.ask_all(
+        tuple(host.admin for host in plan.hosts),
+        f'/v1/timeline?request_id={request_id}',
+        models.TimelinePage,
+    )
+    events = [
+        event
+        for one in asked
+        if isinstance(one.page, models.TimelinePage)
+        for event in one.page.events
+    ]
+    for event in sorted(events, key=lambda event: event.at):
+        print(f'    {event.at:.4f} {event.host} {event.kind} {event.detail}')
+    checks.expect(
+        any(event.kind == 'call.dispatched' for event in events),
+        'the time line shows where the request ran',
+    )
+
+
 def accept(plan: mesh.MeshPlan, file: pathlib.Path, note: str) -> int:
     """Accept a text by the operators' own command; return the version."""
     done = subprocess.run(
@@ -204,8 +249,10 @@
     checks.expect(
         took >= 0, f'version {first} in force on every daemon in {took:.3f} s'
     )
-    settled = await routes_settled(plan, len(plan.hosts))
-    checks.expect(settled, f'every daemon routes to {len(plan.hosts)} targets')
+    public = public_services(text)
+    expected = sum(host.service in public for host in plan.hosts)
+    settled = await routes_settled(plan, public, expected)
+    checks.expect(settled, f'every daemon routes to {expected} targets')
 
     print('2. calls through every daemon')
     received = await send_calls(plan, text)
@@ -217,6 +264,7 @@
     victim = plan.hosts[0]
     print(f'3. the target of {victim.host} is killed during calls')
     pid = int((work / f'target-{victim.host}.pid').read_text())
+    (work / f'target-{victim.host}.killed').touch()
     os.kill(pid, signal.SIGKILL)
     received = await send_calls(plan, text)
     tell(received)
@@ -227,7 +275,7 @@
         ),
         'every call got an answer, or a definite word',
     )
-    settled = await routes_settled(plan, len(plan.hosts) - 1)
+    settled = await routes_settled(plan, public, expected - 1)
     checks.expect(settled, 'no daemon routes to it any more')
     received = await send_calls(plan, text)
     checks.expect(
@@ -259,6 +307,8 @@
         current is not None and current.revision == second,
         'the store holds the second version',
     )
+    print('5. one request seen over all processes')
+    await tell_request(plan, public[0], checks)
     print(f'done in {time.monotonic() - began:.1f} s')
     return 1 if checks.failed else 0
 
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -1,27 +1,52 @@
 #!/usr/bin/env bash
 # First run: one mesh on free loopback ports, ended by itself.
 set -u
+STOP_S=12
 cd "$(dirname "$0")/.."
 bin=${BIN:-.venv/bin}
 text=${TEXT:-examples/rautasilta.yaml}
 work=$(mktemp -d)
-pids=()
+names=()
+declare -A pids=()
 
+# stop KIND: ends by SIGTERM what was started as KIND-*; a program that does
+# not end with exit code 0 was cut short, which fails the demo.
 stop() {
-    # Targets leave before their daemons, and the platform goes last.
-    for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-        kill -TERM "${pids[$i]}" 2>/dev/null
+    local name bad=0 limit
+    # A program that hangs must not hang the demo: it is killed and counted.
+    (sleep "$STOP_S"; kill -KILL "${pids[@]}" 2>/dev/null) &
+    limit=$!
+    for name in "${names[@]}"; do
+        [[ $name == $1* && -n ${pids[$name]:-} ]] || continue
+        [ -e "$work/$name.killed" ] || kill -TERM "${pids[$name]}"
     done
-    wait
+    for name in "${names[@]}"; do
+        [[ $name == $1* && -n ${pids[$name]:-} ]] || continue
+        if ! wait "${pids[$name]}" 2>/dev/null && [ ! -e "$work/$name.killed" ]; then
+            echo "  [FAILED] $name did not stop cleanly"
+            bad=1
+        fi
+        unset "pids[$name]"
+    done
+    kill "$limit" 2>/dev/null
+    wait "$limit" 2>/dev/null
+    return $bad
+}
+
+finish() {
+    stop target
+    stop daemon
+    stop platform
     rm -rf "$work"
 }
-trap stop EXIT
+trap finish EXIT
 
 start() {
     local name=$1
     shift
     "$bin/python" -m "$@" >"$work/$name.out" 2>"$work/$name.log" &
-    pids+=($!)
+    names+=("$name")
+    pids[$name]=$!
     echo $! >"$work/$name.pid"
 }
 
@@ -39,6 +64,12 @@
 
 "$bin/python" -m demo.drive "$work" "$text"
 code=$?
+echo "6. every program is stopped by SIGTERM, targets first"
+if stop target && stop daemon && stop platform; then
+    echo "  [ok] all ended with exit code 0"
+else
+    code=1
+fi
 if [ $code -ne 0 ]; then
     for log in "$work"/*.log; do
         [ -s "$log" ] && { echo "--- $(basename "$log")"; tail -n 5 "$log"; }
--- a/src/peridotpost/distribution/server.py
+++ b/src/peridotpost/distribution/server.py
@@ -17,6 +17,7 @@
 from peridotpost.generated import control_pb2
 from peridotpost.generated import control_pb2_grpc
 from peridotpost.kernel import counters
+from peridotpost.kernel import tasks
 from peridotpost.model import config
 from peridotpost.model import errors
 
@@ -176,9 +177,7 @@
         yield
     finally:
         table.links.remove(link)
-        sending.cancel()
-        with contextlib.suppress(asyncio.CancelledError, grpc.RpcError):
-            await sending
+        await tasks.end(sending)
 
 
 @contextlib.asynccontextmanager
--- a/src/peridotpost/platform/etcd.py
+++ b/src/peridotpost/platform/etcd.py
@@ -20,6 +20,7 @@
 from tornado import simple_httpclient
 
 from peridotpost.kernel import counters
+from peridotpost.kernel import tasks
 from peridotpost.model import errors
 from peridotpost.platform import store
 
@@ -147,9 +148,7 @@
             if failure is not None:
                 yield result.Err(failure)
         finally:
-            fetching.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await fetching
+            await tasks.end(fetching)
 
     async def _fetch_watch(
         self,
