--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Two commands matter: `make demo` and `make test`.
 VENV ?= .venv
 PYTHON ?= python3
+TEXT ?= examples/rautasilta.yaml
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
@@ -14,7 +15,7 @@
 	touch $@
 
 demo: env
-	BIN=$(BIN) bash demo/run.sh
+	BIN=$(BIN) TEXT=$(TEXT) bash demo/run.sh
 
 test: env
 	$(BIN)/python -m pytest
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -14,7 +14,12 @@
 stop() {
     local name bad=0 limit
     # A program that hangs must not hang the demo: it is killed and counted.
-    (sleep "$STOP_S"; kill -KILL "${pids[@]}" 2>/dev/null) &
+    (
+        trap 'kill $!; exit' TERM
+        sleep "$STOP_S" &
+        wait $!
+        kill -KILL "${pids[@]}"
+    ) >/dev/null 2>&1 &
     limit=$!
     for name in "${names[@]}"; do
         [[ $name == $1* && -n ${pids[$name]:-} ]] || continue
