--- a/demo/run.sh
+++ b/demo/run.sh
@@ -9,32 +9,33 @@
 names=()
 declare -A pids=()
 
+# A program that hangs must not hang the demo: it is killed and counted.
+end_within_limit() {
+    local tenths
+    for ((tenths = STOP_S * 10; tenths > 0; tenths--)); do
+        jobs -rp | grep -qx "$1" || return 0
+        sleep 0.1
+    done
+    kill -KILL "$1"
+}
+
 # stop KIND: ends by SIGTERM what was started as KIND-*; a program that does
 # not end with exit code 0 was cut short, which fails the demo.
 stop() {
-    local name bad=0 limit
-    # A program that hangs must not hang the demo: it is killed and counted.
-    (
-        trap 'kill $!; exit' TERM
-        sleep "$STOP_S" &
-        wait $!
-        kill -KILL "${pids[@]}"
-    ) >/dev/null 2>&1 &
-    limit=$!
+    local name bad=0
     for name in "${names[@]}"; do
         [[ $name == $1* && -n ${pids[$name]:-} ]] || continue
         [ -e "$work/$name.killed" ] || kill -TERM "${pids[$name]}"
     done
     for name in "${names[@]}"; do
         [[ $name == $1* && -n ${pids[$name]:-} ]] || continue
+        end_within_limit "${pids[$name]}"
         if ! wait "${pids[$name]}" 2>/dev/null && [ ! -e "$work/$name.killed" ]; then
             echo "  [FAILED] $name did not stop cleanly"
             bad=1
         fi
         unset "pids[$name]"
     done
-    kill "$limit" 2>/dev/null
-    wait "$limit" 2>/dev/null
     return $bad
 }
 
