A version that was cut for an outgrown scope is no longer applied

Cause: a replica took what it *wants* for what it *holds*. A daemon that had just become a parent passed its old part of a version on as the whole; one whose targets changed could apply an update cut for its old scope and then refuse the right one of the same revision as stale. Updates and greetings now carry a seal over version and scope, and a replica knows the scope it holds.

--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -16,6 +16,7 @@
 from peridotpost.calls import peers
 from peridotpost.calls import router as routers
 from peridotpost.decisions import pacing
+from peridotpost.decisions import versions as version_rules
 from peridotpost.distribution import links
 from peridotpost.distribution import reconcile
 from peridotpost.distribution import replica as replicas
@@ -36,9 +37,6 @@
 from peridotpost.model import members
 from peridotpost.platform import etcd
 
-FIRST_READ_PEERS = 3
-"""Peers whose versions a fresh daemon compares before it serves, beside
-the store's: a store that is out cannot tell it of a newer version."""
 MEETING_ATTEMPTS = 5
 LEAVE_SPREAD_S = 0.5
 """Time in which the fleet hears that this daemon leaves, before it stops
@@ -131,11 +129,9 @@
         counts = kernel.find('counters', counters.Counters)
         clock = kernel.find('timers', timers.TimerService)
         zone = given.availability_zone
-        table = links.LinkTable(replica)
+        table = links.LinkTable(replica, self.incarnation, zone)
         kernel.register('links', table)
-        servicer = control.ControlServicer(
-            replica, table, counts, self.incarnation, zone
-        )
+        servicer = control.ControlServicer(replica, table, counts)
         kernel.register('control', servicer)
         control_port = await stack.enter_async_context(
             control.serving(servicer, given.address, given.listen.control_port)
@@ -169,9 +165,7 @@
             admin_port=0,
         )
         kernel.register('myself', own.Myself(record))
-        ups = uplinks.Uplinks(
-            replica, table, counts, self.incarnation, zone, self.randomness
-        )
+        ups = uplinks.Uplinks(replica, table, counts, zone, self.randomness)
         kernel.register('uplinks', ups)
         kernel.register(
             'reconciler',
@@ -287,7 +281,6 @@
         given = self.settings
         kernel = self.kernel
         source = kernel.find('source', sources.Source)
-        reconciler = kernel.find('reconciler', reconcile.Reconciler)
         ups = kernel.find('uplinks', uplinks.Uplinks)
         store = kernel.find('store', etcd.EtcdStore)
         backoff = pacing.Backoff(self.randomness)
@@ -297,19 +290,32 @@
                 store, given.mesh, given.availability_zone, self.randomness
             )
             addresses = list(given.peers)
+            self.randomness.shuffle(addresses)
             if isinstance(found, result.Ok):
                 addresses += [one.control_address for one in found.ok_value]
             mine = kernel.find('myself', own.Myself).record.control_address
             addresses = [one for one in addresses if one != mine]
             ups.bootstrap = tuple(addresses)
-            asked = [
-                await reconciler.ask(one)
-                for one in addresses[:FIRST_READ_PEERS]
-            ]
-            if read or any(asked):
+            if await self._ask_peers(read, addresses):
                 return
             await asyncio.sleep(backoff.next_delay())
 
+    async def _ask_peers(self, store_read: bool, addresses: list[str]) -> bool:
+        """Ask a few peers at a time until enough of them answered."""
+        reconciler = self.kernel.find('reconciler', reconcile.Reconciler)
+        step = version_rules.FIRST_READ_PEERS
+        answered = 0
+        for start in range(0, max(1, len(addresses)), step):
+            group = addresses[start : start + step]
+            answers = await asyncio.gather(*map(reconciler.ask, group))
+            answered += sum(answers)
+            asked = start + len(group)
+            if version_rules.heard_enough(
+                store_read, answered, asked, len(addresses)
+            ):
+                return True
+        return False
+
     def _subscribe_timers(self, targets: local.LocalTargets) -> None:
         kernel = self.kernel
         timing = self.settings.timing
--- a/src/peridotpost/decisions/fleet.py
+++ b/src/peridotpost/decisions/fleet.py
@@ -8,12 +8,20 @@
 raises its incarnation and sequence, so the highest record is its latest
 word, except that a suspicion or death at the same incarnation overrides
 it until it answers with a higher incarnation.
+
+Two daemons compare their fleets by sums over buckets of members first,
+and by the members' marks only in buckets whose sums differ.  Without the
+sums each comparison would carry some 40 bytes for every member: 208 KB at
+5,200 members, and every 10 s that is three times a daemon's 7 KB/s.  With
+64 buckets the sums take 512 bytes, and a bucket that differs costs the
+marks of about 81 members, 3 KB.
 """
 
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import hashlib
 
 from peridotpost.model import members
 
@@ -21,6 +29,30 @@
 """Seconds for which a departed member is remembered.  Forgetting it sooner
 than the longest partition would let a daemon that was cut off bring the
 dead record back as live; a day covers "regions cut for minutes" by far."""
+BUCKETS = 64
+ALL_BUCKETS = frozenset(range(BUCKETS))
+SUM_MODULUS = 2**64
+
+
+def bucket_of(host: str) -> int:
+    return hashlib.blake2b(host.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _share(record: members.MemberRecord) -> int:
+    """Return what a record adds to its bucket's sum; 0 once departed.
+
+    Departed members stay out of the sums, or a daemon that has forgotten
+    one would differ for ever from another that has not, and each would
+    teach the other its dead anew.
+    """
+    if not record.live:
+        return 0
+    mark = record.mark
+    text = (
+        f'{record.host}\0{mark.incarnation}\0{mark.status:d}\0{mark.sequence}'
+    )
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,12 +63,17 @@
         default_factory=dict
     )
     departed_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    sums: list[int] = dataclasses.field(default_factory=lambda: [0] * BUCKETS)
 
     def merge(self, record: members.MemberRecord, now: float) -> bool:
         """Keep `record` if it is later than the one held; say whether."""
         held = self.records.get(record.host)
         if held is not None and record.mark <= held.mark:
             return False
+        before = 0 if held is None else _share(held)
+        bucket = bucket_of(record.host)
+        changed = self.sums[bucket] + _share(record) - before
+        self.sums[bucket] = changed % SUM_MODULUS
         self.records[record.host] = record
         if record.live:
             self.departed_at.pop(record.host, None)
@@ -67,15 +104,62 @@
     def zones(self) -> list[str]:
         return sorted({one.availability_zone for one in self.live()})
 
+    def differing(self, sums: Iterable[int]) -> frozenset[int]:
+        """Return the buckets in which a holder of `sums` differs."""
+        pairs = zip(self.sums, sums, strict=True)
+        return frozenset(
+            bucket for bucket, (mine, its) in enumerate(pairs) if mine != its
+        )
+
     def newer_than(
-        self, marks: Mapping[str, members.MemberMark]
-    ) -> Iterable[members.MemberRecord]:
-        """Return the records that a holder of `marks` lacks."""
+        self,
+        marks: Mapping[str, members.MemberMark],
+        buckets: frozenset[int] = ALL_BUCKETS,
+    ) -> list[members.MemberRecord]:
+        """Return the records of `buckets` that a holder of `marks` lacks.
+
+        A departed member that the holder never knew, or has forgotten, is
+        left out: told of it, the holder would remember it for another
+        TOMBSTONE_S and tell others in turn, and no daemon ever forgot.
+        """
         return [
             record
-            for host, record in self.records.items()
-            if host not in marks or marks[host] < record.mark
+            for record in self._within(buckets)
+            if self._is_news(record, marks.get(record.host))
+        ]
+
+    def _is_news(
+        self, record: members.MemberRecord, mark: members.MemberMark | None
+    ) -> bool:
+        return record.live if mark is None else mark < record.mark
+
+    def older_than(self, marks: Mapping[str, members.MemberMark]) -> list[str]:
+        """Return the hosts of whom a holder of `marks` knows more."""
+        return [
+            host
+            for host, mark in marks.items()
+            if self._is_older(self.records.get(host), mark)
         ]
 
-    def marks(self) -> dict[str, members.MemberMark]:
-        return {host: one.mark for host, one in self.records.items()}
+    def _is_older(
+        self, record: members.MemberRecord | None, mark: members.MemberMark
+    ) -> bool:
+        if record is None:
+            return mark.status <= members.Status.SUSPECT
+        return record.mark < mark
+
+    def marks(
+        self, buckets: frozenset[int] = ALL_BUCKETS
+    ) -> dict[str, members.MemberMark]:
+        return {one.host: one.mark for one in self._within(buckets)}
+
+    def _within(
+        self, buckets: frozenset[int]
+    ) -> Iterator[members.MemberRecord]:
+        if buckets == ALL_BUCKETS:
+            return iter(self.records.values())
+        return (
+            one
+            for one in self.records.values()
+            if bucket_of(one.host) in buckets
+        )
--- a/src/peridotpost/decisions/pacing.py
+++ b/src/peridotpost/decisions/pacing.py
@@ -10,6 +10,7 @@
 one of the common variants whose waves flatten on the first retry.
 """
 
+from collections.abc import Sequence
 import dataclasses
 import random
 
@@ -17,6 +18,11 @@
 CAP_S = 5.0
 JOINS_PER_S = 40
 JOIN_BURST = 16
+MAX_COME_BACK_S = 15.0
+"""A daemon without a parent still hears by reconciliation, about every
+10 s; sent away for much longer it would do better with any other one."""
+STOOD_S = 5.0
+"""A stream that stood this long was not refused in disguise."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,17 +46,22 @@
 
 @dataclasses.dataclass(slots=True)
 class JoinLimit:
-    """Token bucket for new streams at a parent.
+    """Token bucket for new streams at a parent, with slots to come back.
 
     A join costs the parent a whole configuration to encode, some
     milliseconds; 40 a second keep that under a fifth of a core during a
     storm while 16 children are taken in at once.
+
+    Each that is refused gets a later slot than the one before.  With one
+    and the same time for all, a storm of 400 would come back as 400
+    within one token's time, and so on until it had died down by luck.
     """
 
     now: float
     rate: float = JOINS_PER_S
     burst: float = JOIN_BURST
     tokens: float = JOIN_BURST
+    slot: float = 0.0
 
     def admit(self, now: float) -> float:
         """Return 0 to admit, else the seconds after which to come back."""
@@ -60,4 +71,66 @@
         if self.tokens >= 1:
             self.tokens -= 1
             return 0.0
-        return (1 - self.tokens) / self.rate
+        earliest = now + (1 - self.tokens) / self.rate
+        self.slot = max(self.slot + 1 / self.rate, earliest)
+        if self.slot > now + MAX_COME_BACK_S:
+            self.slot = earliest
+        return self.slot - now
+
+
+@dataclasses.dataclass(slots=True)
+class PeerPast:
+    """How one parent answered so far."""
+
+    backoff: Backoff
+    not_before: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class ParentChoice:
+    """Which parent to dial next, and how long to wait before.
+
+    Load pattern: a parent that is full, storming, dead or hung, with all
+    of its children looking for another.  Without a memory for each parent
+    a refused child would wait for the very one that refused it while the
+    next in its list stands free; and one that takes a stream and drops it
+    at once would be dialled without end.
+
+    A refusal is honoured to the millisecond, with up to a quarter more so
+    that those who were refused together do not come back together.
+    """
+
+    randomness: random.Random
+    past: dict[str, PeerPast] = dataclasses.field(default_factory=dict)
+
+    def choose(
+        self, candidates: Sequence[str], now: float
+    ) -> tuple[str, float]:
+        """Return the peer to dial and the seconds to wait before that."""
+        for peer in candidates:
+            if self._past(peer).not_before <= now:
+                return peer, 0.0
+        peer = min(candidates, key=lambda one: self._past(one).not_before)
+        return peer, self._past(peer).not_before - now
+
+    def ended(self, peer: str, now: float, stood_s: float) -> None:
+        """Take note that a dial failed or a stream ended."""
+        past = self._past(peer)
+        if stood_s >= STOOD_S:
+            past.backoff.reset()
+        past.not_before = now + past.backoff.next_delay()
+
+    def refused(self, peer: str, now: float, come_back_s: float) -> None:
+        spread = self.randomness.uniform(1, 1.25)
+        self._past(peer).not_before = now + come_back_s * spread
+
+    def keep_only(self, candidates: Sequence[str]) -> None:
+        """Forget peers that are no candidates any more."""
+        for peer in set(self.past) - set(candidates):
+            del self.past[peer]
+
+    def _past(self, peer: str) -> PeerPast:
+        found = self.past.get(peer)
+        if found is None:
+            found = self.past[peer] = PeerPast(Backoff(self.randomness))
+        return found
--- a/src/peridotpost/decisions/tree.py
+++ b/src/peridotpost/decisions/tree.py
@@ -15,6 +15,7 @@
 below the relays, with 15 or so streams at each parent.
 """
 
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -67,6 +68,17 @@
     return Place(False, False, tuple(ranked(host, middle) + relays))
 
 
+def suspects_last(
+    parents: Sequence[str], suspected: Container[str]
+) -> tuple[str, ...]:
+    """Return `parents` with those under suspicion at the end.
+
+    A frozen parent is suspected seconds before it is declared dead; its
+    children would hear of no version in that time.
+    """
+    return tuple(sorted(parents, key=lambda host: host in suspected))
+
+
 def _middle_size(below: int) -> int:
     """Return how many parents stand between relays and `below` daemons."""
     if below <= RELAYS_PER_ZONE * FAN_OUT:
@@ -88,15 +100,22 @@
 
 
 def links_between_zones(
-    host: str, zone: str, others: Sequence[ZoneRelays]
+    host: str,
+    zone: str,
+    zone_hosts: Iterable[str],
+    others: Sequence[ZoneRelays],
 ) -> list[str]:
     """Return the relays of other zones that the relay `host` calls up.
 
-    Of two zones the one whose name sorts first calls, so that a pair is
-    linked once from each of its relays; either direction carries all.
+    Of two zones the one whose name sorts first calls; either direction
+    carries all.  The first relay calls the first, the second the second:
+    were each to choose for itself, both could choose one relay, and its
+    death or freeze would cut the two zones off from each other.
     """
+    mine = relays_of(zone, {*zone_hosts, host})
+    turn = mine.index(host) if host in mine else 0
     return [
-        ranked(host, other.relays)[0]
+        other.relays[turn % len(other.relays)]
         for other in others
         if zone < other.zone and other.relays
     ]
--- a/src/peridotpost/distribution/reconcile.py
+++ b/src/peridotpost/distribution/reconcile.py
@@ -10,10 +10,9 @@
 import random
 
 import grpc
-from grpc import aio
 
+from peridotpost.distribution import dialling
 from peridotpost.distribution import replica as replicas
-from peridotpost.distribution import server
 from peridotpost.distribution import wire
 from peridotpost.generated import control_pb2
 from peridotpost.generated import control_pb2_grpc
@@ -38,6 +37,7 @@
         self.counts = counts
         self.zone = zone
         self.randomness = randomness
+        self.dial: dialling.Dial = dialling.dial
 
     def pick(self) -> str | None:
         """Return the address to ask next, mostly within the zone."""
@@ -61,30 +61,54 @@
 
     async def ask(self, address: str) -> bool:
         """Fetch from `address` what is lacking; False if it failed."""
+        try:
+            async with self.dial(address) as channel:
+                stub = control_pb2_grpc.ControlStub(channel)
+                facts = await self._question(stub, self._digest(), address)
+                if facts.differing:
+                    marks = self._marks(frozenset(facts.differing))
+                    await self._question(stub, marks, address)
+        except (grpc.RpcError, errors.PeridotError, asyncio.TimeoutError):
+            self.counts.add('reconcile.failed')
+            return False
+        self.counts.add('reconcile.asked')
+        return True
+
+    async def _question(
+        self,
+        stub: control_pb2_grpc.ControlStub,
+        digest: control_pb2.Digest,
+        address: str,
+    ) -> control_pb2.Facts:
+        self.counts.add('reconcile.sent-bytes', digest.ByteSize())
+        facts: control_pb2.Facts = await stub.Reconcile(
+            digest, timeout=TIMEOUT_S
+        )
+        self.counts.add('reconcile.received-bytes', facts.ByteSize())
+        self.take(facts, address)
+        return facts
+
+    def _digest(self) -> control_pb2.Digest:
+        """Return the first question: sums over all that is held."""
         replica = self.replica
         digest = control_pb2.Digest(
             host=replica.host,
             revision=replica.version.revision,
-            config_digest=replica.version.digest,
+            config_digest=replica.digest,
             interest=wire.interest_to_wire(replica.interest),
-            marks=wire.marks_to_wire(replica.fleet.marks()),
+            member_sums=replica.fleet.sums,
         )
         mine = replica.fleet.records.get(replica.host)
         if mine is not None:
             digest.sender.CopyFrom(wire.member_to_wire(mine))
-        options = list(server.CHANNEL_OPTIONS)
-        try:
-            async with aio.insecure_channel(address, options) as channel:
-                stub = control_pb2_grpc.ControlStub(channel)
-                facts = await stub.Reconcile(digest, timeout=TIMEOUT_S)
-            self.take(facts, address)
-        except (grpc.RpcError, errors.CodecError, asyncio.TimeoutError):
-            self.counts.add('reconcile.failed')
-            return False
-        self.counts.add('reconcile.asked')
-        self.counts.add('reconcile.sent-bytes', digest.ByteSize())
-        self.counts.add('reconcile.received-bytes', facts.ByteSize())
-        return True
+        return digest
+
+    def _marks(self, buckets: frozenset[int]) -> control_pb2.Digest:
+        """Return the second question: the marks where sums differed."""
+        marks = self.replica.fleet.marks(buckets)
+        return control_pb2.Digest(
+            host=self.replica.host, marks=wire.bucket_marks(buckets, marks)
+        )
 
     def take(self, facts: control_pb2.Facts, address: str) -> None:
         """Offer the facts to the replica.
--- a/src/peridotpost/distribution/replica.py
+++ b/src/peridotpost/distribution/replica.py
@@ -44,16 +44,33 @@
         self.clock = clock
         self.events = events
         self.counts = counts
-        self.version = config.NO_CONFIG
+        self.holding = versions.NOTHING_HELD
         self.fleet = fleet_rules.Fleet()
         self.compiled = routing.EMPTY_TABLE
         self.stale_table = False
-        self.widening = False
         self.changed: hooks.Hook[FactChange] = hooks.Hook('fact.changed')
         self.interest_changed: hooks.Hook[config.Interest] = hooks.Hook(
             'interest.changed'
         )
 
+    @property
+    def version(self) -> config.ConfigVersion:
+        """The version in force here, cut to `scope`."""
+        return self.holding.version
+
+    @property
+    def scope(self) -> config.Interest:
+        """What is held whole; lags `interest` until that is fetched."""
+        return self.holding.scope
+
+    @property
+    def digest(self) -> bytes:
+        return self.holding.digest
+
+    @property
+    def lacks_scope(self) -> bool:
+        return not versions.covers(self.scope, self.interest)
+
     @property
     def table(self) -> routing.RoutingTable:
         """The table for what is held now, compiled when first asked for.
@@ -73,17 +90,18 @@
         if interest == self.interest:
             return
         self.interest = interest
-        self.widening = True
+        self.holding = versions.narrowed(self.holding, interest)
+        self.stale_table = True
         self.interest_changed.fire(interest)
 
     def offer_config(
         self, update: versions.ConfigUpdate, source: str
     ) -> versions.Verdict:
         """Apply an update by the rules of ``decisions.versions``."""
-        judgement = versions.judge(self.version, update, self.widening)
+        judgement = versions.judge(self.holding, self.interest, update)
         self.counts.add(f'config.{judgement.verdict.value}')
         if judgement.verdict is versions.Verdict.APPLIED:
-            self._swap(judgement.version, source)
+            self._swap(judgement.holding, source)
         return judgement.verdict
 
     def offer_whole(
@@ -91,7 +109,8 @@
     ) -> versions.Verdict:
         """Offer a version that was read whole, as from the store."""
         scoped = version.scoped(self.interest)
-        update = versions.difference(config.NO_CONFIG, scoped)
+        target = versions.Holding(scoped, self.interest)
+        update = versions.difference(config.NO_CONFIG, target)
         return self.offer_config(update, source)
 
     def offer_member(self, record: members.MemberRecord, source: str) -> bool:
@@ -105,10 +124,10 @@
         self.changed.fire(FactChange(source, member=record))
         return True
 
-    def _swap(self, version: config.ConfigVersion, source: str) -> None:
+    def _swap(self, holding: versions.Holding, source: str) -> None:
         before = self.version.revision
-        self.version = version
-        self.widening = False
+        self.holding = holding
+        version = holding.version
         self.stale_table = True
         self.events.record(
             'config.in-force', source, revision=version.revision
--- a/src/peridotpost/distribution/source.py
+++ b/src/peridotpost/distribution/source.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 
+import eliot
 import result
 
 from peridotpost.decisions import pacing
@@ -18,6 +19,10 @@
 from peridotpost.platform import versions
 
 SOURCE = 'store'
+SHORT_WATCH_S = 1.0
+"""A read and a watch that together ended sooner count as a failure: a
+store that reads well but ends each watch at once would otherwise be asked
+without a pause by every relay."""
 
 
 class Source:
@@ -56,6 +61,8 @@
         """Read the head; False when the store gave no usable answer."""
         head = await versions.read_head(self.platform, self.mesh)
         if isinstance(head, result.Err):
+            if isinstance(head.err_value, errors.StoreGarbage):
+                self._rejected(head.err_value)
             self._failed(head.err_value)
             return False
         self._recovered()
@@ -65,17 +72,31 @@
 
     async def _watch(self) -> None:
         while True:
-            if not await self.read_once():
+            began = self.replica.clock.now()
+            try:
+                good = await self.read_once() and await self._watch_once()
+            except Exception:
+                # A relay whose watch dies by a mistake of ours would hear
+                # of no version and look healthy.
+                self.counts.add('source.broken')
+                eliot.write_traceback()
+                good = False
+            if good and self.replica.clock.now() - began >= SHORT_WATCH_S:
+                self.backoff.reset()
+            else:
                 await asyncio.sleep(self.backoff.next_delay())
-                continue
-            async for item in self.platform.watch(
-                versions.head_key(self.mesh), self.last_revision + 1
-            ):
-                if isinstance(item, result.Err):
-                    self._failed(item.err_value)
-                    await asyncio.sleep(self.backoff.next_delay())
-                    break
-                self._take(item.ok_value)
+
+    async def _watch_once(self) -> bool:
+        """Follow one bounded watch to its end; False when it failed."""
+        watch = self.platform.watch(
+            versions.head_key(self.mesh), self.last_revision + 1
+        )
+        async for item in watch:
+            if isinstance(item, result.Err):
+                self._failed(item.err_value)
+                return False
+            self._take(item.ok_value)
+        return True
 
     def _take(self, kv: store.KeyValue) -> None:
         accepted = versions.from_value(kv)
@@ -87,7 +108,7 @@
     def _offer(self, accepted: versions.Accepted) -> None:
         self.last_revision = max(self.last_revision, accepted.revision)
         if accepted.revision <= self.replica.version.revision:
-            if not self.replica.widening:
+            if not self.replica.lacks_scope:
                 return
         compiled = versions.compile_version(accepted)
         if isinstance(compiled, result.Err):
@@ -108,7 +129,6 @@
         if not self.reachable:
             logs.state_changed('store', to='reachable')
         self.reachable = True
-        self.backoff.reset()
 
 
 @contextlib.asynccontextmanager
--- a/src/peridotpost/distribution/uplinks.py
+++ b/src/peridotpost/distribution/uplinks.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import random
+from typing import Any
 
 import eliot
 import grpc
@@ -18,19 +19,22 @@
 
 from peridotpost.decisions import pacing
 from peridotpost.decisions import tree
+from peridotpost.distribution import dialling
 from peridotpost.distribution import links
 from peridotpost.distribution import replica as replicas
-from peridotpost.distribution import server
+from peridotpost.distribution import streams
 from peridotpost.generated import control_pb2
 from peridotpost.generated import control_pb2_grpc
 from peridotpost.kernel import counters
 from peridotpost.kernel import logs
 from peridotpost.model import errors
+from peridotpost.model import members
 
 REPLAN_S = 0.2
 """Seconds between a change of the fleet and new uplinks: a rack that goes
 at once gives one plan, not forty."""
-MAX_ATTEMPTS_AT_ONE = 2
+REPORTING = frozenset({'parent', 'mate'})
+"""Streams towards the zone's first relay, which so hears of all."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,24 +54,23 @@
         replica: replicas.Replica,
         table: links.LinkTable,
         counts: counters.Counters,
-        incarnation: int,
         zone: str,
         randomness: random.Random,
     ) -> None:
         self.replica = replica
         self.table = table
         self.counts = counts
-        self.incarnation = incarnation
         self.zone = zone
         self.randomness = randomness
         self.wanted: dict[str, Uplink] = {}
         self.place = tree.Place(False, False, ())
+        self.dial: dialling.Dial = dialling.dial
+        self.closing = asyncio.Event()
         self.addresses: Callable[[str], str | None] = self._address
         self.bootstrap: tuple[str, ...] = ()
         self.replanning: asyncio.TimerHandle | None = None
         self.on_place: list[Callable[[tree.Place], None]] = []
         replica.changed.subscribe(self._fleet_changed)
-        replica.interest_changed.subscribe(lambda _: self._greet_again())
 
     def _fleet_changed(self, change: replicas.FactChange) -> None:
         if change.member is None or self.replanning is not None:
@@ -96,7 +99,8 @@
     def _wanted(self, hosts: list[str]) -> dict[str, tuple[str, ...]]:
         """Return the candidates of each wanted stream, by its name."""
         if not self.place.relay:
-            return {'parent': self.place.parents or self.bootstrap}
+            parents = tree.suspects_last(self.place.parents, self.suspected())
+            return {'parent': parents or self.bootstrap}
         others = [
             tree.ZoneRelays(
                 zone,
@@ -107,7 +111,9 @@
             for zone in self.replica.fleet.zones()
             if zone != self.zone
         ]
-        peers = tree.links_between_zones(self.replica.host, self.zone, others)
+        peers = tree.links_between_zones(
+            self.replica.host, self.zone, hosts, others
+        )
         wanted: dict[str, tuple[str, ...]] = {
             f'zone-of-{peer}': (peer,) for peer in peers
         }
@@ -119,6 +125,14 @@
             wanted['bootstrap'] = self.bootstrap
         return wanted
 
+    def suspected(self) -> frozenset[str]:
+        """Return the hosts of the zone that are under suspicion."""
+        return frozenset(
+            one.host
+            for one in self.replica.fleet.live()
+            if one.status is members.Status.SUSPECT
+        )
+
     def _open(self, name: str, candidates: tuple[str, ...]) -> None:
         task = asyncio.ensure_future(self._hold(name, candidates))
         self.wanted[name] = Uplink(candidates, task)
@@ -135,72 +149,86 @@
         self._open(name, candidates)
 
     async def _hold(self, name: str, candidates: tuple[str, ...]) -> None:
-        backoff = pacing.Backoff(self.randomness)
-        turn = 0
+        choice = pacing.ParentChoice(self.randomness)
+        clock = self.replica.clock
         while True:
             uplink = self.wanted.get(name)
             if uplink is not None:
                 candidates = uplink.candidates
-            if candidates:
-                peer = candidates[turn % len(candidates)]
-                if uplink is not None:
-                    uplink.peer = peer
-                try:
-                    await self._exchange(peer, backoff)
-                except (grpc.RpcError, errors.PeridotError) as error:
-                    self.counts.add('uplink.failed')
-                    logs.state_changed(
-                        'uplink', peer=peer, to='down', error=str(error)[:200]
-                    )
-                except Exception:
-                    # A stream that ends by a mistake of ours must still be
-                    # opened again, or the daemon would never hear of
-                    # another version.
-                    self.counts.add('uplink.broken')
-                    eliot.write_traceback()
-            if backoff.failures >= MAX_ATTEMPTS_AT_ONE:
-                turn += 1
-            await asyncio.sleep(backoff.next_delay())
-
-    async def _exchange(self, peer: str, backoff: pacing.Backoff) -> None:
+            if not candidates:
+                await asyncio.sleep(REPLAN_S)
+                continue
+            choice.keep_only(candidates)
+            peer, wait_s = choice.choose(candidates, clock.now())
+            if wait_s:
+                await asyncio.sleep(wait_s)
+                continue
+            if uplink is not None:
+                uplink.peer = peer
+            began = clock.now()
+            refusal = await self._try(name, peer)
+            now = clock.now()
+            if refusal is None:
+                choice.ended(peer, now, now - began)
+            else:
+                choice.refused(peer, now, refusal.come_back_ms / 1000)
+
+    async def _try(self, name: str, peer: str) -> control_pb2.Refusal | None:
+        """Hold one stream until it ends; return the refusal, if it was."""
+        try:
+            return await self._exchange(name, peer)
+        except (grpc.RpcError, errors.PeridotError, TimeoutError) as error:
+            self.counts.add('uplink.failed')
+            logs.state_changed(
+                'uplink', peer=peer, to='down', error=str(error)[:200]
+            )
+        except Exception:
+            # A stream that ends by a mistake of ours must still be opened
+            # again, or the daemon would never hear of another version.
+            self.counts.add('uplink.broken')
+            eliot.write_traceback()
+        return None
+
+    async def _exchange(
+        self, name: str, peer: str
+    ) -> control_pb2.Refusal | None:
         address = self.addresses(peer)
         if address is None:
             raise errors.PeridotError(
                 'no address is known', step='uplink.dial', peer=peer
             )
-        options = list(server.CHANNEL_OPTIONS)
-        async with aio.insecure_channel(address, options) as channel:
+        link = links.Link(
+            peer,
+            self.table,
+            self.counts,
+            dialled=True,
+            reports=name in REPORTING,
+        )
+        async with self.dial(address) as channel:
             call = control_pb2_grpc.ControlStub(channel).Exchange()
-            hello = links.greeting(self.replica, self.incarnation, self.zone)
-            await call.write(control_pb2.Frame(hello=hello))
-            first = await call.read()
-            if first is aio.EOF:
-                raise errors.PeridotError(
-                    'ended at once', step='uplink.greet', peer=peer
-                )
+            first = await asyncio.wait_for(
+                self._greet(call, link), streams.GREETING_S
+            )
             if first.HasField('refusal'):
                 self.counts.add('uplink.refused')
-                await asyncio.sleep(first.refusal.come_back_ms / 1000)
-                return
-            link = links.Link(
-                first.hello.host, self.replica, call.write, self.counts
-            )
-            links.greet_with(link, first.hello)
-            backoff.reset()
+                refusal: control_pb2.Refusal = first.refusal
+                return refusal
+            link.take(first)
             logs.state_changed('uplink', peer=link.peer, to='up')
-            async with server.attached(self.table, link):
-                # Only read(): a call that was read from refuses to be
-                # iterated over as well.
-                while (frame := await call.read()) is not aio.EOF:
-                    await server.handle(link, frame)
-
-    def _greet_again(self) -> None:
-        """Tell every peer of the new scope."""
-        hello = links.greeting(self.replica, self.incarnation, self.zone)
-        frame = control_pb2.Frame(hello=hello)
-        for link in self.table.links:
-            task = asyncio.ensure_future(link.send(frame))
-            task.add_done_callback(_swallow)
+            # Only read(): a call that was read from refuses to be iterated
+            # over as well.
+            await streams.converse(link, call.read, call.write, self.closing)
+        return None
+
+    async def _greet(self, call: Any, link: links.Link) -> Any:
+        hello = links.greeting(link)
+        await call.write(control_pb2.Frame(hello=hello))
+        first = await call.read()
+        if first is aio.EOF:
+            raise errors.PeridotError(
+                'ended at once', step='uplink.greet', peer=link.peer
+            )
+        return first
 
     def _address(self, peer: str) -> str | None:
         if ':' in peer:
@@ -209,18 +237,13 @@
         return record.control_address if record is not None else None
 
 
-def _swallow(task: asyncio.Future[None]) -> None:
-    """A greeting on a link that just ended needs no answer."""
-    if not task.cancelled():
-        task.exception()
-
-
 @contextlib.asynccontextmanager
 async def holding(uplinks: Uplinks) -> AsyncIterator[Uplinks]:
     uplinks.plan()
     try:
         yield uplinks
     finally:
+        uplinks.closing.set()
         if uplinks.replanning is not None:
             uplinks.replanning.cancel()
         tasks = [uplink.task for uplink in uplinks.wanted.values()]
--- a/src/peridotpost/distribution/wire.py
+++ b/src/peridotpost/distribution/wire.py
@@ -106,6 +106,24 @@
         raise errors.CodecError(str(error), step='wire.marks') from error
 
 
+def bucket_marks(
+    buckets: frozenset[int], marks: Mapping[str, members.MemberMark]
+) -> control_pb2.MemberMarks:
+    return control_pb2.MemberMarks(
+        buckets=sorted(buckets), marks=marks_to_wire(marks)
+    )
+
+
+def read_bucket_marks(
+    message: control_pb2.MemberMarks,
+) -> tuple[frozenset[int], dict[str, members.MemberMark]]:
+    """Read buckets and the marks that the sender holds in them.
+
+    :raises errors.CodecError: a status has no meaning.
+    """
+    return frozenset(message.buckets), marks_from_wire(message.marks)
+
+
 def interest_to_wire(interest: config.Interest) -> control_pb2.Interest:
     return control_pb2.Interest(
         everything=interest.everything,
@@ -134,6 +152,7 @@
             for name, spec in sorted(update.changed.items())
         ],
         removed=sorted(update.removed),
+        scope=interest_to_wire(update.scope),
     )
 
 
@@ -158,4 +177,5 @@
         availability_zones=tuple(message.availability_zones),
         changed=changed,
         removed=frozenset(message.removed),
+        scope=interest_from_wire(message.scope),
     )
--- a/src/peridotpost/model/config.py
+++ b/src/peridotpost/model/config.py
@@ -131,8 +131,8 @@
 
     @functools.cached_property
     def digest(self) -> bytes:
-        """SHA-256 over the zones and every service body held, in order."""
-        state = hashlib.sha256()
+        """SHA-256 over the accepting write and all that is held, in order."""
+        state = hashlib.sha256(f'{self.revision} {self.write_id}\0'.encode())
         state.update('\0'.join(self.availability_zones).encode())
         for name in sorted(self.services):
             state.update(b'\0')
