--- a/src/peridotpost/kernel/tasks.py
+++ b/src/peridotpost/kernel/tasks.py
@@ -4,15 +4,19 @@
 from typing import Any
 
 
-async def end(task: asyncio.Future[Any]) -> None:
-    """Cancel `task` and wait until it has ended; its error is dropped.
+async def end(*ending: asyncio.Future[Any]) -> None:
+    """Cancel tasks and wait until they have ended; errors are dropped.
 
-    Awaiting the task under ``suppress(CancelledError)`` would also swallow
+    Awaiting a task under ``suppress(CancelledError)`` would also swallow
     a cancellation of the caller that arrives meanwhile.  That showed as a
     daemon that never stopped: its uplink was cancelled just as its peer
     left, lost the cancellation here and dialled on for ever.
     """
-    task.cancel()
-    await asyncio.wait({task})
-    if not task.cancelled():
-        task.exception()
+    if not ending:
+        return
+    for task in ending:
+        task.cancel()
+    await asyncio.wait(ending)
+    for task in ending:
+        if not task.cancelled():
+            task.exception()
