--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -48,19 +48,14 @@
 class ReplicaMembers:
     """Shows the replica to the prober."""
 
-    def __init__(self, replica: replicas.Replica, zone: str) -> None:
+    def __init__(self, replica: replicas.Replica) -> None:
         self.replica = replica
-        self.zone = zone
 
     def record_of(self, host: str) -> members.MemberRecord | None:
         return self.replica.fleet.records.get(host)
 
-    def live_in_zone(self) -> list[members.MemberRecord]:
-        return [
-            one
-            for one in self.replica.fleet.live()
-            if one.availability_zone == self.zone
-        ]
+    def live(self) -> list[members.MemberRecord]:
+        return list(self.replica.fleet.live())
 
     def offer(self, record: members.MemberRecord) -> None:
         self.replica.offer_member(record, 'probe')
@@ -142,7 +137,8 @@
         )
         prober = probing.Prober(
             given.host,
-            ReplicaMembers(replica, zone),
+            zone,
+            ReplicaMembers(replica),
             clock,
             counts,
             self.randomness,
--- a/src/peridotpost/membership/probing.py
+++ b/src/peridotpost/membership/probing.py
@@ -1,16 +1,19 @@
-"""Probes over UDP by the rules of ``decisions.suspicion``."""
+"""Probes over UDP by the rules of ``decisions.observer``."""
 
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
-from collections.abc import Iterable
+from collections.abc import Collection
+from collections.abc import Iterator
 import contextlib
+import dataclasses
 import random
 from typing import Any
 from typing import Protocol
 
 from google.protobuf import message as protobuf_message
 
+from peridotpost.decisions import observer as observers
 from peridotpost.decisions import suspicion
 from peridotpost.generated import control_pb2
 from peridotpost.kernel import counters
@@ -21,6 +24,13 @@
 PING = 1
 ACK = 2
 PING_REQUEST = 3
+RECEIVED = 4
+"""A helper's word that it was asked, whatever the subject does: it shows
+that the prober itself is heard."""
+NONCE_BITS = 64
+MAX_RELAYED = 64
+"""Probes run for others at once; more are refused, so that a flood of
+requests costs no more than so many datagrams each timeout."""
 Address = tuple[str, int]
 
 
@@ -29,17 +39,33 @@
 
     def record_of(self, host: str) -> members.MemberRecord | None: ...
 
-    def live_in_zone(self) -> Iterable[members.MemberRecord]: ...
+    def live(self) -> Collection[members.MemberRecord]: ...
 
     def offer(self, record: members.MemberRecord) -> None: ...
 
 
+@dataclasses.dataclass(slots=True)
+class Expected:
+    """An answer that is waited for, and who alone may give it."""
+
+    subject: str
+    answerers: dict[Address, str]
+    answered: asyncio.Future[None]
+    heard: set[str] = dataclasses.field(default_factory=set)
+
+    def given_by(self, probe: control_pb2.Probe, address: Address) -> bool:
+        """Whether an answer comes from whom it should, about whom."""
+        source = self.answerers.get(address)
+        return source == probe.source and probe.subject == self.subject
+
+
 class Prober:
-    """Probes one member of the zone each period, and answers probes."""
+    """Probes members each period, and answers probes."""
 
     def __init__(
         self,
         host: str,
+        zone: str,
         fleet: Members,
         clock: timers.TimerService,
         counts: counters.Counters,
@@ -49,105 +75,131 @@
         suspicion_s: float,
     ) -> None:
         self.host = host
+        self.zone = zone
         self.fleet = fleet
         self.clock = clock
         self.counts = counts
+        self.randomness = randomness
+        self.period_s = period_s
         self.timeout_s = timeout_s
-        self.round = suspicion.ProbeRound(randomness)
-        self.suspicions = suspicion.Suspicions(suspicion_s)
+        self.observer = observers.Observer(randomness, suspicion_s)
         self.pause = suspicion.PauseGuard(period_s, clock.now())
         self.paused: list[Callable[[], None]] = []
         self.transport: asyncio.DatagramTransport | None = None
-        self.waiting: dict[int, asyncio.Future[None]] = {}
-        self.nonce = randomness.getrandbits(32)
+        self.waiting: dict[int, Expected] = {}
+        self.relayed: set[asyncio.Task[None]] = set()
 
     def observe(self, record: members.MemberRecord) -> None:
         """Follow a member's status, whoever found it out."""
-        self.suspicions.observe(record, self.clock.now())
+        self.observer.suspicions.observe(record, self.clock.now())
 
     async def tick(self) -> None:
-        """Probe one member and let old suspicions turn into deaths."""
+        """Probe this period's members and draw the conclusions."""
         now = self.clock.now()
         if self.pause.paused(now):
             # The first thing a thawed process sees is its own expired
             # timers; acting on them would declare half the zone dead.
-            self.counts.add('probe.own-pause')
-            self.suspicions.restart(now)
-            for listener in self.paused:
-                listener()
+            self._own_pause(now)
             return
-        for host in self.suspicions.expired(now):
-            self._declare_dead(host)
-        candidates = [
-            one.host
-            for one in self.fleet.live_in_zone()
-            if one.host != self.host
-        ]
-        subject = self.round.next_subject(candidates)
-        if subject is not None:
-            await self._probe(subject, candidates)
-
-    async def _probe(self, subject: str, candidates: list[str]) -> None:
+        others = [one for one in self.fleet.live() if one.host != self.host]
+        candidates = suspicion.probed_from(self.zone, others)
+        subjects = self.observer.subjects(candidates, now)
+        await asyncio.gather(
+            *(self._probe(subject, others) for subject in subjects)
+        )
+
+    def _own_pause(self, now: float) -> None:
+        self.counts.add('probe.own-pause')
+        self.observer.suspicions.restart(now)
+        for listener in self.paused:
+            listener()
+
+    async def _probe(
+        self, subject: str, others: list[members.MemberRecord]
+    ) -> None:
         record = self.fleet.record_of(subject)
-        if record is None or await self._ping(record):
-            return
-        helpers = self.round.helpers(subject, candidates)
-        if await self._ping_through(record, helpers):
+        if record is None:
             return
+        evidence = await self._evidence(record, others)
         latest = self.fleet.record_of(subject)
-        if latest is None or latest.mark != record.mark:
+        if latest is None or latest.incarnation != record.incarnation:
             return
-        if latest.status is members.Status.ALIVE:
-            self.counts.add('probe.suspected')
+        verdict = self.observer.judge(latest, evidence, self.clock.now())
+        self.counts.add(f'probe.{verdict.value}')
+        if verdict is observers.Verdict.SUSPECTED:
             self.fleet.offer(suspicion.suspected(latest))
+        elif verdict is observers.Verdict.DEAD:
+            self.fleet.offer(suspicion.dead(latest))
+
+    async def _evidence(
+        self,
+        record: members.MemberRecord,
+        others: list[members.MemberRecord],
+    ) -> observers.Evidence:
+        started = self.clock.now()
+        if await self._ping(record):
+            return observers.Evidence(answered=True)
+        near = [o.host for o in others if o.availability_zone == self.zone]
+        far = [o.host for o in others if o.availability_zone != self.zone]
+        helpers = self.observer.round.helpers(record.host, near, far)
+        answered, heard = await self._ping_through(record, helpers)
+        took = self.clock.now() - started
+        return observers.Evidence(
+            answered,
+            len(helpers),
+            heard,
+            suspicion.overslept(3 * self.timeout_s, took, self.period_s),
+        )
 
     async def _ping(self, record: members.MemberRecord) -> bool:
-        nonce, answered = self._expect()
         facts = []
         if record.status is members.Status.SUSPECT:
             # The suspect hears of the suspicion with the probe itself, so
             # that it can refute it even if its stream is what broke.
             facts = [record]
-        self._send(PING, nonce, record.host, record, facts)
-        return await self._answered(nonce, answered)
+        with self._expecting(record.host, [record]) as (nonce, expected):
+            self._send(PING, nonce, record.host, record, facts)
+            return await self._answered(expected, self.timeout_s)
 
     async def _ping_through(
         self, record: members.MemberRecord, helpers: list[str]
-    ) -> bool:
-        nonce, answered = self._expect()
-        for host in helpers:
-            helper = self.fleet.record_of(host)
-            if helper is not None:
+    ) -> tuple[bool, int]:
+        """Ask `helpers`; return whether one got an answer, how many heard."""
+        found = [self.fleet.record_of(host) for host in helpers]
+        asked = [one for one in found if one is not None]
+        with self._expecting(record.host, asked) as (nonce, expected):
+            for helper in asked:
                 self._send(PING_REQUEST, nonce, record.host, helper, [])
-        return await self._answered(nonce, answered, rounds=2)
-
-    def _expect(self) -> tuple[int, asyncio.Future[None]]:
-        self.nonce = (self.nonce + 1) % 2**32
-        future: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
+            answered = await self._answered(expected, 2 * self.timeout_s)
+            return answered, len(expected.heard)
+
+    @contextlib.contextmanager
+    def _expecting(
+        self, subject: str, answerers: list[members.MemberRecord]
+    ) -> Iterator[tuple[int, Expected]]:
+        # Numbers that can be guessed would let a stray or late datagram
+        # vouch for a dead member.
+        nonce = self.randomness.getrandbits(NONCE_BITS)
+        answered = asyncio.get_running_loop().create_future()
+        expected = Expected(
+            subject,
+            {(one.address, one.probe_port): one.host for one in answerers},
+            answered,
         )
-        self.waiting[self.nonce] = future
-        return self.nonce, future
+        self.waiting[nonce] = expected
+        try:
+            yield nonce, expected
+        finally:
+            del self.waiting[nonce]
 
-    async def _answered(
-        self, nonce: int, answered: asyncio.Future[None], rounds: int = 1
-    ) -> bool:
+    async def _answered(self, expected: Expected, timeout_s: float) -> bool:
         try:
-            await asyncio.wait_for(answered, self.timeout_s * rounds)
+            await asyncio.wait_for(expected.answered, timeout_s)
         except TimeoutError:
             self.counts.add('probe.unanswered')
             return False
-        finally:
-            self.waiting.pop(nonce, None)
         return True
 
-    def _declare_dead(self, host: str) -> None:
-        self.suspicions.drop(host)
-        record = self.fleet.record_of(host)
-        if record is not None and record.status is members.Status.SUSPECT:
-            self.counts.add('probe.declared-dead')
-            self.fleet.offer(suspicion.dead(record))
-
     def _send(
         self,
         kind: int,
@@ -156,6 +208,18 @@
         to: members.MemberRecord,
         facts: list[members.MemberRecord],
     ) -> None:
+        self._send_to(kind, nonce, subject, (to.address, to.probe_port), facts)
+
+    def _send_to(
+        self,
+        kind: int,
+        nonce: int,
+        subject: str,
+        address: Address,
+        facts: list[members.MemberRecord],
+    ) -> None:
+        if self.transport is None:
+            return
         probe = control_pb2.Probe(
             kind=kind,
             nonce=nonce,
@@ -163,11 +227,6 @@
             subject=subject,
             facts=[self.encode(one) for one in facts],
         )
-        self._send_to(probe, (to.address, to.probe_port))
-
-    def _send_to(self, probe: control_pb2.Probe, address: Address) -> None:
-        if self.transport is None:
-            return
         data = probe.SerializeToString()
         self.counts.add('probe.sent-bytes', len(data))
         self.counts.add('probe.sent-messages')
@@ -177,36 +236,88 @@
     decode: Callable[[control_pb2.Member], members.MemberRecord]
 
     def received(self, data: bytes, address: Address) -> None:
-        """Answer or take in one datagram; what is unreadable is counted."""
+        """Answer or take in one datagram; what is unusable is counted."""
         self.counts.add('probe.received-bytes', len(data))
         self.counts.add('probe.received-messages')
         probe = control_pb2.Probe()
         try:
             probe.ParseFromString(data)
-            for one in probe.facts:
-                self.fleet.offer(self.decode(one))
+            facts = [self.decode(one) for one in probe.facts]
         except (protobuf_message.DecodeError, errors.CodecError):
             self.counts.add('probe.unreadable')
             return
-        if probe.kind == PING and probe.subject == self.host:
-            self._acknowledge(probe, address)
+        if probe.kind == PING:
+            self._take_ping(probe, facts, address)
         elif probe.kind == PING_REQUEST:
-            asyncio.ensure_future(self._probe_for(probe, address))
-        elif probe.kind == ACK:
-            waiting = self.waiting.get(probe.nonce)
-            if waiting is not None and not waiting.done():
-                waiting.set_result(None)
+            self._take_request(probe, address)
+        elif probe.kind in (ACK, RECEIVED):
+            self._take_answer(probe, facts, address)
+        else:
+            self.counts.add('probe.unreadable')
+
+    def _take_ping(
+        self,
+        probe: control_pb2.Probe,
+        facts: list[members.MemberRecord],
+        address: Address,
+    ) -> None:
+        if probe.subject != self.host:
+            # A new daemon on the address of a dead one must not vouch for
+            # it, nor pass on what was meant for it.
+            self.counts.add('probe.misdirected')
+            return
+        self._offer(facts)
+        mine = self.fleet.record_of(self.host)
+        refuting = [mine] if facts and mine is not None else []
+        self._send_to(ACK, probe.nonce, self.host, address, refuting)
 
-    def _acknowledge(self, probe: control_pb2.Probe, address: Address) -> None:
-        ack = control_pb2.Probe(kind=ACK, nonce=probe.nonce, source=self.host)
-        self._send_to(ack, address)
+    def _take_request(
+        self, probe: control_pb2.Probe, address: Address
+    ) -> None:
+        record = self.fleet.record_of(probe.subject)
+        if record is None or probe.subject == self.host:
+            self.counts.add('probe.misdirected')
+            return
+        if len(self.relayed) >= MAX_RELAYED:
+            self.counts.add('probe.relay-refused')
+            return
+        self._send_to(RECEIVED, probe.nonce, probe.subject, address, [])
+        task = asyncio.ensure_future(
+            self._probe_for(record, probe.nonce, address)
+        )
+        self.relayed.add(task)
+        task.add_done_callback(self.relayed.discard)
 
     async def _probe_for(
-        self, request: control_pb2.Probe, address: Address
+        self, record: members.MemberRecord, nonce: int, address: Address
     ) -> None:
-        record = self.fleet.record_of(request.subject)
-        if record is not None and await self._ping(record):
-            self._acknowledge(request, address)
+        if await self._ping(record):
+            latest = self.fleet.record_of(record.host)
+            facts = [latest] if latest is not None else []
+            self._send_to(ACK, nonce, record.host, address, facts)
+
+    def _take_answer(
+        self,
+        probe: control_pb2.Probe,
+        facts: list[members.MemberRecord],
+        address: Address,
+    ) -> None:
+        expected = self.waiting.get(probe.nonce)
+        if expected is None:
+            self.counts.add('probe.stale')
+            return
+        if not expected.given_by(probe, address):
+            self.counts.add('probe.wrong-source')
+            return
+        expected.heard.add(probe.source)
+        if probe.kind == ACK:
+            self._offer(facts)
+            if not expected.answered.done():
+                expected.answered.set_result(None)
+
+    def _offer(self, facts: list[members.MemberRecord]) -> None:
+        for one in facts:
+            self.fleet.offer(one)
 
 
 class _Protocol(asyncio.DatagramProtocol):
--- /dev/null
+++ b/testing/test_suspicion.py
@@ -0,0 +1,496 @@
+"""Who is suspected and declared dead: whole zones of observers at once."""
+
+import asyncio
+from collections.abc import Collection
+import contextlib
+import dataclasses
+import random
+from typing import Any
+
+import pytest
+
+from peridotpost.decisions import observer as observers
+from peridotpost.decisions import suspicion
+from peridotpost.distribution import wire
+from peridotpost.generated import control_pb2
+from peridotpost.kernel import counters
+from peridotpost.kernel import timers
+from peridotpost.membership import myself as own
+from peridotpost.membership import probing
+from peridotpost.model import members
+
+PERIOD_S = 1.0
+SUSPICION_S = 4.0
+ZONE = 473
+ALIVE, SUSPECT, DEAD = (
+    members.Status.ALIVE,
+    members.Status.SUSPECT,
+    members.Status.DEAD,
+)
+
+
+def record_of(
+    host: str, status: members.Status = ALIVE, **fields: Any
+) -> members.MemberRecord:
+    plain: dict[str, Any] = {
+        'availability_zone': 'z',
+        'incarnation': 1,
+        'sequence': 1,
+        'address': '127.0.0.1',
+        'control_port': 1,
+        'probe_port': 2,
+        'call_port': 3,
+        'admin_port': 4,
+    }
+    return members.MemberRecord(host=host, status=status, **plain | fields)
+
+
+class Zone:
+    """Observers that share what they conclude, over a lossy network.
+
+    A suspect hears of its suspicion only by a probe that reaches it, as if
+    its streams were all broken.
+
+    :param down: hosts that answer nothing.
+    :param cut: hosts whose datagrams all get lost, both ways.
+    """
+
+    def __init__(self, count: int, loss: float, seed: int) -> None:
+        self.randomness = random.Random(seed)
+        self.loss = loss
+        self.down: set[str] = set()
+        self.cut: set[str] = set()
+        self.now = 0.0
+        self.records = {
+            host: record_of(host)
+            for host in map('h{:04}'.format, range(count))
+        }
+        self.observers = {
+            host: observers.Observer(
+                random.Random(f'{seed}/{host}'), SUSPICION_S
+            )
+            for host in self.records
+        }
+        self.suspected: list[str] = []
+        self.dead_after: dict[str, float] = {}
+
+    def offer(self, record: members.MemberRecord) -> None:
+        held = self.records[record.host]
+        if record.mark <= held.mark:
+            return
+        self.records[record.host] = record
+        if record.status is SUSPECT:
+            self.suspected.append(record.host)
+        if record.status is DEAD:
+            self.dead_after[record.host] = self.now
+        for one in self.observers.values():
+            one.suspicions.observe(record, self.now)
+
+    def passes(self, source: str, to: str) -> bool:
+        if source in self.cut or to in self.cut:
+            return False
+        return self.randomness.random() >= self.loss
+
+    def ping(self, source: str, to: str) -> bool:
+        if not self.passes(source, to) or to in self.down:
+            return False
+        held = self.records[to]
+        if held.status is not ALIVE:
+            self.offer(
+                dataclasses.replace(
+                    held, status=ALIVE, incarnation=held.incarnation + 1
+                )
+            )
+        return self.passes(to, source)
+
+    def probe(self, source: str, to: str, live: Collection[str]) -> None:
+        seen = self.records[to]
+        if self.ping(source, to):
+            evidence = observers.Evidence(answered=True)
+        else:
+            evidence = self.probe_through(source, to, live)
+        latest = self.records[to]
+        if latest.incarnation != seen.incarnation or not latest.live:
+            return
+        observer = self.observers[source]
+        verdict = observer.judge(latest, evidence, self.now)
+        if verdict is observers.Verdict.SUSPECTED:
+            self.offer(suspicion.suspected(latest))
+        elif verdict is observers.Verdict.DEAD:
+            self.offer(suspicion.dead(latest))
+
+    def probe_through(
+        self, source: str, to: str, live: Collection[str]
+    ) -> observers.Evidence:
+        near = set(live) - {source}
+        helpers = self.observers[source].round.helpers(to, near)
+        heard, answered = 0, False
+        for helper in helpers:
+            if helper in self.down or not self.passes(source, helper):
+                continue
+            heard += self.passes(helper, source)
+            answered |= self.ping(helper, to) and self.passes(helper, source)
+        return observers.Evidence(answered, len(helpers), heard)
+
+    def run(self, rounds: int, only: Collection[str] = ()) -> None:
+        for _ in range(rounds):
+            self.now += PERIOD_S
+            live = {h for h, one in self.records.items() if one.live}
+            for host in sorted(only or live - self.down):
+                observer = self.observers[host]
+                for subject in observer.subjects(live - {host}, self.now):
+                    self.probe(host, subject, live)
+
+
+@pytest.mark.parametrize(
+    ('lost', 'loss', 'rounds'),
+    [(1, 0.0, 6), (1, 0.05, 6), (1, 0.2, 8), (40, 0.0, 12), (40, 0.05, 12)],
+    ids=['one', 'one-lossy', 'one-very-lossy', 'rack', 'rack-lossy'],
+)
+def test_lost_members_are_declared_dead_and_no_other(
+    lost: int, loss: float, rounds: int
+) -> None:
+    # A rack of 40 goes at once, or one daemon hangs: it takes datagrams
+    # and answers none.  Calls go on being sent there until it is dead.
+    zone = Zone(ZONE, loss, seed=11)
+    zone.run(3)
+    gone = set(list(zone.records)[100 : 100 + lost])
+    zone.down = gone
+    zone.run(rounds)
+    assert set(zone.dead_after) == gone
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_no_live_member_is_declared_dead_on_a_lossy_network(seed: int) -> None:
+    # Every twentieth datagram is lost.  Suspicions come up all the time;
+    # a death would take a live target out of every table.
+    zone = Zone(ZONE, 0.05, seed)
+    zone.run(40)
+    assert zone.dead_after == {}
+    assert len(zone.suspected) < 40
+
+
+def test_none_of_two_thousand_is_declared_dead_on_a_lossy_network() -> None:
+    zone = Zone(2_000, 0.05, seed=4)
+    zone.run(6)
+    assert zone.dead_after == {}
+
+
+def test_observer_that_reaches_nobody_declares_nobody_dead() -> None:
+    # One daemon's network card fails.  It must go on with the targets it
+    # knows, not take its whole zone out of its own table; the others must
+    # find it dead as ever.
+    zone = Zone(100, 0.0, seed=5)
+    zone.run(3)
+    lonely = 'h0007'
+    zone.cut = {lonely}
+    zone.run(50, only=[lonely])
+    assert zone.suspected == []
+    zone.run(8)
+    assert list(zone.dead_after) == [lonely]
+
+
+def test_half_of_a_zone_that_is_cut_off_keeps_itself_alive() -> None:
+    # A switch fails: 30 of 90 reach only each other.  Their own records
+    # must stay; this side's view of the other half is its own affair.
+    zone = Zone(90, 0.0, seed=6)
+    island = set(list(zone.records)[:30])
+    passes = zone.passes
+    zone.passes = (  # type: ignore[method-assign]
+        lambda a, b: (a in island) == (b in island) and passes(a, b)
+    )
+    zone.run(30, only=sorted(island))
+    assert not island & set(zone.dead_after)
+
+
+def test_death_is_found_though_its_finder_dies_too() -> None:
+    # The only one who found the silence dies before its suspicion ends.
+    # The others only heard of it, and must act after a longer wait.
+    zone = Zone(60, 0.0, seed=7)
+    gone, finder = 'h0001', 'h0002'
+    zone.down = {gone}
+    zone.probe(finder, gone, zone.records)
+    assert zone.suspected == [gone]
+    zone.down |= {finder}
+    others = [one for one in zone.records if one not in zone.down]
+    for host in others:
+        zone.observers[host].round.pending = [others[0]] * 12
+    zone.run(9)
+    assert gone in zone.dead_after
+
+
+@pytest.mark.parametrize(
+    ('silences', 'lasts_s'),
+    [(0, 8.0), (1, 4.0), (2, 3.0), (3, 2.415), (4, 2.0), (9, 2.0)],
+)
+def test_confirmed_suspicion_is_shorter(silences: int, lasts_s: float) -> None:
+    one = suspicion.Suspicion(1, 0.0, silences)
+    assert one.lasts_s(SUSPICION_S) == pytest.approx(lasts_s, abs=0.001)
+
+
+Evidence, Verdict = observers.Evidence, observers.Verdict
+
+
+@pytest.mark.parametrize(
+    ('status', 'evidence', 'after_s', 'verdict'),
+    [
+        (ALIVE, Evidence(True), 0, Verdict.ALIVE),
+        (ALIVE, Evidence(False, 3, 1), 0, Verdict.SUSPECTED),
+        (ALIVE, Evidence(False, 0, 0), 0, Verdict.SUSPECTED),
+        (ALIVE, Evidence(False, 3, 0), 0, Verdict.ISOLATED),
+        (ALIVE, Evidence(False, 3, 3, overslept=True), 0, Verdict.UNCLEAR),
+        (SUSPECT, Evidence(False, 3, 3), 7.9, Verdict.STILL_SILENT),
+        (SUSPECT, Evidence(False, 3, 3), 8.0, Verdict.DEAD),
+        (SUSPECT, Evidence(True), 8.0, Verdict.ALIVE),
+        (SUSPECT, Evidence(False, 3, 0), 8.0, Verdict.ISOLATED),
+        (SUSPECT, Evidence(False, 3, 3, overslept=True), 8.0, Verdict.UNCLEAR),
+    ],
+)
+def test_verdict_on_one_probe(
+    status: members.Status,
+    evidence: observers.Evidence,
+    after_s: float,
+    verdict: observers.Verdict,
+    randomness: random.Random,
+) -> None:
+    one = observers.Observer(randomness, SUSPICION_S)
+    record = record_of('a', status)
+    one.suspicions.observe(record, 0.0)
+    assert one.judge(record, evidence, after_s) is verdict
+
+
+def test_suspicion_of_an_older_incarnation_ends(
+    randomness: random.Random,
+) -> None:
+    one = suspicion.Suspicions(SUSPICION_S)
+    one.found_silent(record_of('a'), 0.0)
+    one.observe(record_of('a', SUSPECT, incarnation=2), 3.0)
+    assert one.expired(10.9) == []
+    assert one.expired(11.0) == ['a']
+    one.restart(11.0)
+    assert one.expired(18.9) == []
+    one.observe(record_of('a', ALIVE, incarnation=3), 19.0)
+    assert one.running == {}
+
+
+@pytest.mark.parametrize(
+    ('gaps', 'paused'),
+    [([1.0, 1.1, 2.9], False), ([1.0, 3.1], True), ([1.0, 60.0], True)],
+)
+def test_observer_notices_its_own_pause(
+    gaps: list[float], paused: bool
+) -> None:
+    guard, now, seen = suspicion.PauseGuard(PERIOD_S, 0.0), 0.0, []
+    for gap in gaps:
+        now += gap
+        seen.append(guard.paused(now))
+    assert seen == [False] * (len(gaps) - 1) + [paused]
+    assert guard.paused(now + 1.0) is False
+
+
+def test_each_member_is_probed_once_a_round(randomness: random.Random) -> None:
+    one = suspicion.ProbeRound(randomness)
+    hosts = [f'h{number}' for number in range(50)]
+    for _ in range(3):
+        assert sorted(one.next_subject(hosts) or '' for _ in hosts) == sorted(
+            hosts
+        )
+
+
+def test_last_member_of_a_zone_is_probed_from_other_zones() -> None:
+    # Two of a zone's three hosts are gone; when the last one goes, nobody
+    # in its zone is left to miss it and its targets stayed in the tables.
+    fleet = [record_of(f'a{n}') for n in range(4)]
+    fleet += [record_of('b0', availability_zone='b')]
+    fleet += [record_of(f'c{n}', availability_zone='c') for n in range(3)]
+    hosts = suspicion.probed_from('z', fleet)
+    assert hosts == ['a0', 'a1', 'a2', 'a3', 'b0']
+
+
+class FewMembers:
+    """A fleet for one prober; follows the merge rule's order."""
+
+    def __init__(self, *records: members.MemberRecord) -> None:
+        self.records = {one.host: one for one in records}
+        self.offered: list[members.MemberRecord] = []
+
+    def record_of(self, host: str) -> members.MemberRecord | None:
+        return self.records.get(host)
+
+    def live(self) -> list[members.MemberRecord]:
+        return [one for one in self.records.values() if one.live]
+
+    def offer(self, record: members.MemberRecord) -> None:
+        self.offered.append(record)
+        held = self.records.get(record.host)
+        if held is None or held.mark < record.mark:
+            self.records[record.host] = record
+
+
+class Sent:
+    """Takes in what a prober sends."""
+
+    def __init__(self) -> None:
+        self.datagrams: list[tuple[control_pb2.Probe, probing.Address]] = []
+
+    def sendto(self, data: bytes, address: probing.Address) -> None:
+        probe = control_pb2.Probe()
+        probe.ParseFromString(data)
+        self.datagrams.append((probe, address))
+
+
+MINE = ('10.0.0.1', 1)
+SUBJECT = ('10.0.0.2', 2)
+HELPER = ('10.0.0.3', 3)
+
+
+@contextlib.contextmanager
+def open_prober(randomness: random.Random) -> Any:
+    fleet = FewMembers(
+        *(
+            record_of(host, address=address, probe_port=port)
+            for host, (address, port) in (
+                ('me', MINE),
+                ('subject', SUBJECT),
+                ('helper', HELPER),
+            )
+        )
+    )
+    counts = counters.Counters()
+    with timers.timer_service(randomness) as clock:
+        prober = probing.Prober(
+            'me', 'z', fleet, clock, counts, randomness, 1.0, 0.2, 4.0
+        )
+        prober.encode = wire.member_to_wire
+        prober.decode = wire.member_from_wire
+        sent: Any = Sent()
+        prober.transport = sent
+        yield prober, fleet, sent, counts
+
+
+@pytest.mark.parametrize(
+    ('change', 'address', 'count'),
+    [
+        ({'source': 'helper'}, SUBJECT, 'probe.wrong-source'),
+        ({}, HELPER, 'probe.wrong-source'),
+        ({'subject': 'helper'}, SUBJECT, 'probe.wrong-source'),
+        ({'nonce': 7}, SUBJECT, 'probe.stale'),
+        ({'kind': 9}, SUBJECT, 'probe.unreadable'),
+        ({'kind': probing.PING}, SUBJECT, 'probe.misdirected'),
+    ],
+    ids=[
+        'of-another-host',
+        'from-another-address',
+        'about-another',
+        'replayed-or-guessed-nonce',
+        'unknown-kind',
+        'ping-meant-for-another',
+    ],
+)
+async def test_answer_that_proves_nothing_is_ignored_and_counted(
+    change: dict[str, Any],
+    address: probing.Address,
+    count: str,
+    randomness: random.Random,
+) -> None:
+    # A daemon restarts on the address of a dead one, or an answer comes
+    # late: taken for the subject's, it would keep a dead target in use.
+    with open_prober(randomness) as (prober, fleet, sent, counts):
+        probing_it = asyncio.ensure_future(
+            prober._ping(fleet.records['subject'])
+        )
+        await asyncio.sleep(0)
+        ping, _ = sent.datagrams[0]
+        wrong = {
+            'kind': probing.ACK,
+            'nonce': ping.nonce,
+            'source': 'subject',
+            'subject': 'subject',
+            'facts': [wire.member_to_wire(record_of('helper', DEAD))],
+            **change,
+        }
+        prober.received(
+            control_pb2.Probe(**wrong).SerializeToString(), address
+        )
+        assert counts.totals[count] == 1
+        assert fleet.offered == []
+        assert await probing_it is False
+
+
+async def test_datagrams_of_any_bytes_are_counted(
+    randomness: random.Random,
+) -> None:
+    with open_prober(randomness) as (prober, _, sent, counts):
+        for size in range(64):
+            prober.received(randomness.randbytes(size), SUBJECT)
+        assert counts.totals['probe.received-messages'] == 64
+        assert sent.datagrams == []
+
+
+async def test_suspect_refutes_in_its_answer_to_the_probe(
+    randomness: random.Random,
+) -> None:
+    # The suspect's streams are broken, so only the probe tells it.
+    with open_prober(randomness) as (prober, fleet, sent, _):
+        myself = own.Myself(fleet.records['me'])
+        prober.fleet.offer = myself.refute
+        myself.changed.subscribe(lambda new: fleet.records.update(me=new))
+        fact = suspicion.suspected(fleet.records['me'])
+        ping = control_pb2.Probe(
+            kind=probing.PING,
+            nonce=5,
+            source='subject',
+            subject='me',
+            facts=[wire.member_to_wire(fact)],
+        )
+        prober.received(ping.SerializeToString(), SUBJECT)
+        answer, to = sent.datagrams[-1]
+    assert (answer.kind, answer.nonce, to) == (probing.ACK, 5, SUBJECT)
+    told = wire.member_from_wire(answer.facts[0])
+    assert (told.status, told.incarnation) == (ALIVE, 2)
+
+
+async def test_helper_says_that_it_was_asked_and_a_flood_is_bounded(
+    randomness: random.Random,
+) -> None:
+    with open_prober(randomness) as (prober, _, sent, counts):
+        for nonce in range(probing.MAX_RELAYED + 5):
+            request = control_pb2.Probe(
+                kind=probing.PING_REQUEST,
+                nonce=nonce,
+                source='helper',
+                subject='subject',
+            )
+            prober.received(request.SerializeToString(), HELPER)
+        await asyncio.sleep(0)
+        kinds = [(probe.kind, to) for probe, to in sent.datagrams]
+        assert kinds.count((probing.RECEIVED, HELPER)) == probing.MAX_RELAYED
+        assert kinds.count((probing.PING, SUBJECT)) == probing.MAX_RELAYED
+        assert counts.totals['probe.relay-refused'] == 5
+        for task in tuple(prober.relayed):
+            task.cancel()
+
+
+@pytest.mark.parametrize(
+    ('heard', 'refutes'),
+    [
+        (record_of('me', SUSPECT), True),
+        (record_of('me', DEAD), True),
+        (record_of('me', DEAD, incarnation=8), True),
+        (record_of('me', ALIVE, sequence=5), True),
+        (record_of('me', DEAD, incarnation=0), False),
+        (record_of('me'), False),
+    ],
+    ids=['suspect', 'dead', 'later-dead', 'left-behind', 'older', 'own'],
+)
+def test_daemon_answers_a_record_that_it_did_not_write(
+    heard: members.MemberRecord, refutes: bool
+) -> None:
+    myself = own.Myself(record_of('me'))
+    told: list[members.MemberRecord] = []
+    myself.changed.subscribe(told.append)
+    myself.refute(heard)
+    assert bool(told) is refutes
+    if refutes:
+        assert told[0].mark > heard.mark
+        assert told[0].status is ALIVE
