Bootstrap records: one writer for a key, starts spread, a lonely daemon writes few

Story: 5,200 daemons that come back at once read the store 10,400 times in the first second and, each knowing only itself, asked for 5,200 leases; a thawed process wrote over the record of the one that had followed it on its host; a write whose answer was lost was written again under another lease; SIGTERM was not heeded while a daemon waited for the store at its start.

--- a/src/peridotpost/border/settings.py
+++ b/src/peridotpost/border/settings.py
@@ -53,6 +53,7 @@
     target_ttl_s: Seconds = 3.0
     watch_timeout_s: Seconds = 30.0
     drain_s: Seconds = 30.0
+    start_spread_s: Annotated[float, pydantic.Field(ge=0, le=600)] = 8.0
 
 
 class DaemonSettings(_Strict):
--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -16,6 +16,7 @@
 from peridotpost.calls import peers
 from peridotpost.calls import router as routers
 from peridotpost.decisions import pacing
+from peridotpost.decisions import seeds as seed_rules
 from peridotpost.distribution import links
 from peridotpost.distribution import reconcile
 from peridotpost.distribution import replica as replicas
@@ -285,15 +286,17 @@
         source = kernel.find('source', sources.Source)
         reconciler = kernel.find('reconciler', reconcile.Reconciler)
         ups = kernel.find('uplinks', uplinks.Uplinks)
-        store = kernel.find('store', etcd.EtcdStore)
-        backoff = pacing.Backoff(self.randomness)
+        keeper = kernel.find('seeds', seeds.SeedKeeper)
+        start = seed_rules.StartPacing(
+            self.randomness, given.timing.start_spread_s
+        )
+        await asyncio.sleep(start.first_delay())
         while True:
-            read = await source.read_once()
-            found = await seeds.find_seeds(
-                store, given.mesh, given.availability_zone, self.randomness
-            )
+            found = await keeper.find(given.availability_zone, self.randomness)
+            read = False
             addresses = list(given.peers)
             if isinstance(found, result.Ok):
+                read = await source.read_once()
                 addresses += [one.control_address for one in found.ok_value]
             mine = kernel.find('myself', own.Myself).record.control_address
             addresses = [one for one in addresses if one != mine]
@@ -304,7 +307,7 @@
             ]
             if read or any(asked):
                 return
-            await asyncio.sleep(backoff.next_delay())
+            await asyncio.sleep(start.next_delay())
 
     def _subscribe_timers(self, targets: local.LocalTargets) -> None:
         kernel = self.kernel
@@ -361,12 +364,10 @@
         """
         kernel = self.kernel
         given = self.settings
-        store = kernel.find('store', etcd.EtcdStore)
+        keeper = kernel.find('seeds', seeds.SeedKeeper)
         replica = kernel.find('replica', replicas.Replica)
         reconciler = kernel.find('reconciler', reconcile.Reconciler)
-        found = await seeds.find_seeds(
-            store, given.mesh, given.availability_zone, self.randomness
-        )
+        found = await keeper.find(given.availability_zone, self.randomness)
         if isinstance(found, result.Err):
             return
         asked: set[str] = set()
--- a/src/peridotpost/cli/peridotd.py
+++ b/src/peridotpost/cli/peridotd.py
@@ -1,5 +1,7 @@
 """``peridotd``: the one small process on each target host."""
 
+import asyncio
+import contextlib
 import pathlib
 
 import click
@@ -34,12 +36,35 @@
     if given.log_level != 'off':
         logs.log_to()
     async with common.stop_signal() as stop:
-        one = daemon.Daemon(given)
-        async with one.running():
-            await stop.wait()
-            await one.leave()
+        await _run(daemon.Daemon(given), stop)
     return common.EXIT_OK
 
 
+async def _run(one: daemon.Daemon, stop: asyncio.Event) -> None:
+    """Serve until `stop`, which may come before the start is over.
+
+    A daemon that finds neither the store nor a peer waits for them; it has
+    to end when it is told to all the same.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        starting = asyncio.ensure_future(
+            stack.enter_async_context(one.running())
+        )
+        stopping = asyncio.ensure_future(stop.wait())
+        await asyncio.wait(
+            {starting, stopping}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not starting.done():
+            starting.cancel()
+            await asyncio.wait({starting})
+            return
+        try:
+            await starting
+            await stopping
+            await one.leave()
+        finally:
+            stopping.cancel()
+
+
 if __name__ == '__main__':
     main()
--- a/src/peridotpost/membership/seeds.py
+++ b/src/peridotpost/membership/seeds.py
@@ -11,17 +11,13 @@
 
 import result
 
-from peridotpost.decisions import tree
+from peridotpost.decisions import seeds as rules
 from peridotpost.kernel import counters
 from peridotpost.kernel import logs
 from peridotpost.model import errors
 from peridotpost.model import members
 from peridotpost.platform import store
 
-SEEDS_PER_ZONE = 8
-LEASE_PERIODS = 3
-"""A lease outlives two lost renewals."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Seed:
@@ -30,12 +26,22 @@
     host: str
     availability_zone: str
     control_address: str
+    incarnation: int = 0
 
 
 def seeds_prefix(mesh: str) -> str:
     return f'peridotpost/{mesh}/seeds/'
 
 
+def seed_of(record: members.MemberRecord) -> Seed:
+    return Seed(
+        record.host,
+        record.availability_zone,
+        record.control_address,
+        record.incarnation,
+    )
+
+
 def read_seed(
     kv: store.KeyValue,
 ) -> result.Result[Seed, errors.StoreError]:
@@ -46,30 +52,17 @@
             str(plain['host']),
             str(plain['availability_zone']),
             str(plain['control_address']),
+            int(plain.get('incarnation', 0)),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, LookupError, TypeError, RecursionError) as error:
         return result.Err(
             errors.StoreGarbage(repr(error), step='seeds.read', peer=kv.key)
         )
     return result.Ok(seed)
 
 
-async def find_seeds(
-    platform: store.Store, mesh: str, zone: str, randomness: random.Random
-) -> result.Result[list[Seed], errors.StoreError]:
-    """Return the seeds, those of `zone` first, each group shuffled."""
-    found = await platform.read_prefix(seeds_prefix(mesh))
-    if isinstance(found, result.Err):
-        return found
-    read = [read_seed(kv) for kv in found.ok_value]
-    seeds = [one.ok_value for one in read if isinstance(one, result.Ok)]
-    randomness.shuffle(seeds)
-    seeds.sort(key=lambda seed: seed.availability_zone != zone)
-    return result.Ok(seeds)
-
-
 class SeedKeeper:
-    """Keeps this daemon's bootstrap record while it is due one."""
+    """Reads the bootstrap records, and keeps this daemon's while due one."""
 
     def __init__(
         self,
@@ -80,21 +73,36 @@
     ) -> None:
         self.platform = platform
         self.mesh = mesh
-        self.ttl_s = max(2, round(period_s * LEASE_PERIODS))
+        self.ttl_s = max(2, round(period_s * rules.LEASE_PERIODS))
         self.counts = counts
         self.lease = 0
+        self.stored: list[Seed] = []
+
+    async def find(
+        self, zone: str, randomness: random.Random
+    ) -> result.Result[list[Seed], errors.StoreError]:
+        """Return the seeds, those of `zone` first, each group shuffled."""
+        found = await self.platform.read_prefix(seeds_prefix(self.mesh))
+        if isinstance(found, result.Err):
+            return found
+        read = [read_seed(kv) for kv in found.ok_value]
+        self.stored = [r.ok_value for r in read if isinstance(r, result.Ok)]
+        seeds = list(self.stored)
+        randomness.shuffle(seeds)
+        seeds.sort(key=lambda seed: seed.availability_zone != zone)
+        return result.Ok(seeds)
 
     async def tick(
         self, record: members.MemberRecord, zone_hosts: list[str]
     ) -> bool:
         """Renew, write or withdraw the record; say whether it is due."""
         zone = record.availability_zone
-        due = tree.seed_hosts(zone, {*zone_hosts, record.host}, SEEDS_PER_ZONE)
-        if record.host not in due:
+        stored = [s.host for s in self.stored if s.availability_zone == zone]
+        if not rules.is_due(record.host, zone, zone_hosts, stored):
             await self.withdraw()
             return False
         if not self.lease or not await self._renewed():
-            await self._write(record)
+            await self._write(record, zone_hosts)
         return True
 
     async def _renewed(self) -> bool:
@@ -108,27 +116,54 @@
             self.lease = 0
         return renewed.ok_value
 
-    async def _write(self, record: members.MemberRecord) -> None:
+    async def _write(
+        self, record: members.MemberRecord, zone_hosts: list[str]
+    ) -> None:
+        """Write the record under a new lease, if it is still due one."""
+        zone = record.availability_zone
+        prefix = f'{seeds_prefix(self.mesh)}{zone}/'
+        found = await self.platform.read_prefix(prefix)
+        if isinstance(found, result.Err):
+            return
+        standing = {kv.key: kv for kv in found.ok_value}
+        hosts = [key.removeprefix(prefix) for key in standing]
+        if not rules.is_due(record.host, zone, zone_hosts, hosts):
+            return
+        mine = seed_of(record)
+        current = standing.get(f'{prefix}{record.host}')
+        if current is not None and not self._may_replace(current, mine):
+            return
+        await self._swap(f'{prefix}{record.host}', current, mine)
+
+    def _may_replace(self, current: store.KeyValue, mine: Seed) -> bool:
+        """Say whether the standing record is one to write over.
+
+        A process that was paused while its host got a new one would
+        otherwise take the key from it, and the two would write in turns.
+        """
+        read = read_seed(current)
+        if isinstance(read, result.Err):
+            return True
+        if read.ok_value == mine and current.lease:
+            # The answer to an earlier write was lost after it took effect.
+            self.lease = current.lease
+            return False
+        if read.ok_value.incarnation > mine.incarnation:
+            self.counts.add('seeds.superseded')
+            return False
+        return True
+
+    async def _swap(
+        self, key: str, current: store.KeyValue | None, mine: Seed
+    ) -> None:
         granted = await self.platform.grant(self.ttl_s)
         if isinstance(granted, result.Err):
             return
-        key = (
-            f'{seeds_prefix(self.mesh)}{record.availability_zone}/'
-            f'{record.host}'
-        )
-        value = json.dumps(
-            {
-                'host': record.host,
-                'availability_zone': record.availability_zone,
-                'control_address': record.control_address,
-            }
-        ).encode()
-        current = await self.platform.read(key)
-        if isinstance(current, result.Err):
-            return
-        standing = current.ok_value.revision if current.ok_value else 0
+        value = json.dumps(dataclasses.asdict(mine)).encode()
         swapped = await self.platform.swap(
-            key, standing, [store.Put(key, value, granted.ok_value)]
+            key,
+            current.revision if current else 0,
+            [store.Put(key, value, granted.ok_value)],
         )
         if isinstance(swapped, result.Ok) and isinstance(
             swapped.ok_value, store.Swapped
--- a/src/peridotpost/standins/mesh.py
+++ b/src/peridotpost/standins/mesh.py
@@ -16,6 +16,8 @@
 LAST_PORT = 32_000
 """Below the range from which the machine takes ports for connections, so
 that a planned port is not taken by one in the meantime."""
+START_SPREAD_S = 0.2
+"""A mesh on one machine is no herd; waiting would only slow first runs."""
 PORT_NAMES = (
     'caller_port',
     'egress_port',
@@ -118,6 +120,7 @@
     platform_port: int,
     settings: dict[str, Any],
 ) -> None:
+    timing = {'start_spread_s': START_SPREAD_S, **settings.get('timing', {})}
     plain = {
         'host': planned.host,
         'availability_zone': planned.availability_zone,
@@ -125,6 +128,7 @@
         'store': {'endpoints': [f'http://127.0.0.1:{platform_port}']},
         'listen': planned.ports,
         **settings,
+        'timing': timing,
     }
     pathlib.Path(planned.settings).write_text(json.dumps(plain, indent=2))
 
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -33,7 +33,7 @@
     def __init__(self, clock: Clock) -> None:
         self.state = keyvalue.KeyValueState(clock.now)
         self.outage = False
-        self.lose_answers = 0
+        self.lost: collections.Counter[str] = collections.Counter()
         self.over_quota = False
         self.watch_ends = False
         self.calls: collections.Counter[str] = collections.Counter()
@@ -51,9 +51,9 @@
             return result.Err(self.error(errors.StoreOverloaded))
         return result.Ok(None)
 
-    def after(self) -> result.Result[None, errors.StoreError]:
-        if self.lose_answers:
-            self.lose_answers -= 1
+    def after(self, call: str) -> result.Result[None, errors.StoreError]:
+        if self.lost[call]:
+            self.lost[call] -= 1
             return result.Err(self.error(errors.StoreUnavailable))
         return result.Ok(None)
 
@@ -98,14 +98,14 @@
             return result.Err(self.error(errors.LeaseLapsed))
         for put in puts:
             self.state.put(put.key.encode(), put.value, put.lease, at)
-        return self.after().map(lambda _: store.Swapped(at))
+        return self.after('swap').map(lambda _: store.Swapped(at))
 
     async def grant(self, ttl_s: int) -> result.Result[int, errors.StoreError]:
         ready = self.before('grant')
         if isinstance(ready, result.Err):
             return ready
         lease = self.state.grant(ttl_s, next(self.leases))
-        return self.after().map(lambda _: lease.lease_id)
+        return self.after('grant').map(lambda _: lease.lease_id)
 
     async def keep_alive(
         self, lease: int
@@ -114,7 +114,7 @@
         if isinstance(ready, result.Err):
             return ready
         renewed = self.state.keep_alive(lease) > 0
-        return self.after().map(lambda _: renewed)
+        return self.after('keep_alive').map(lambda _: renewed)
 
     async def revoke(
         self, lease: int
@@ -124,7 +124,7 @@
             return ready
         with contextlib.suppress(keyvalue.NoSuchLease):
             self.state.revoke(lease)
-        return self.after()
+        return self.after('revoke')
 
     async def watch(
         self, key: str, from_revision: int
--- a/testing/test_store_contract.py
+++ b/testing/test_store_contract.py
@@ -44,7 +44,7 @@
 
     def lose_answers(self, count: int) -> None:
         if isinstance(self.behind, fakes.FakeStore):
-            self.behind.lose_answers = count
+            self.behind.lost['swap'] = count
         else:
             self.behind.set_faults(standin.Faults(lose_answers=count))
 
