--- a/src/peridotpost/cli/operator.py
+++ b/src/peridotpost/cli/operator.py
@@ -1,8 +1,10 @@
 """What ``peridotctl`` does, apart from its command line."""
 
 import asyncio
+import contextlib
 import dataclasses
 import difflib
+import pathlib
 import time
 import uuid
 
@@ -10,6 +12,7 @@
 import result
 from tornado import httpclient
 
+from peridotpost.border import document
 from peridotpost.border import text as text_border
 from peridotpost.kernel import counters
 from peridotpost.model import errors
@@ -35,6 +38,39 @@
     return etcd.EtcdStore(endpoints, timeout_s, timeout_s, counters.Counters())
 
 
+def opened_store(
+    endpoints: tuple[str, ...], timeout_s: float
+) -> contextlib.AbstractContextManager[etcd.EtcdStore]:
+    """Own a store for one command."""
+    return contextlib.closing(open_store(endpoints, timeout_s))
+
+
+def read_file(file: pathlib.Path) -> str:
+    """Read a text.
+
+    :raises document.DocumentError: it cannot be read.
+    """
+    try:
+        return file.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        problem = document.Problem(str(file), '', 0, f'{error}')
+        raise document.DocumentError([problem]) from error
+
+
+def text_for(mesh: str, file: pathlib.Path) -> str:
+    """Read and check a text that is to be one of `mesh`.
+
+    :raises document.DocumentError: it is wrong, or of another mesh.
+    """
+    text = read_file(file)
+    named = mesh_of(text, str(file)).mesh
+    if named != mesh:
+        message = f'is {named!r}, not {mesh!r}; give its mesh with --mesh'
+        problem = document.Problem(str(file), 'mesh', 0, message)
+        raise document.DocumentError([problem])
+    return text
+
+
 def difference(old: str, new: str, old_name: str, new_name: str) -> str:
     """Return a unified diff of two texts."""
     return ''.join(
@@ -47,19 +83,29 @@
     )
 
 
-async def find_version(
+async def kept_version(
     platform: store.Store, mesh: str, revision: int
-) -> result.Result[versions.Accepted | None, errors.StoreError]:
+) -> result.Result[versions.Accepted, errors.PeridotError]:
     """Return the head, or with `revision` that kept version."""
-    if not revision:
-        return await versions.read_head(platform, mesh)
-    history = await versions.read_history(platform, mesh)
-    if isinstance(history, result.Err):
-        return history
-    for one in history.ok_value:
-        if one.revision == revision:
-            return result.Ok(one)
-    return result.Ok(None)
+    head = await versions.read_head(platform, mesh)
+    if isinstance(head, result.Err):
+        return result.Err(head.err_value)
+    found = head.ok_value
+    if revision and (found is None or found.revision != revision):
+        history = await versions.read_history(platform, mesh)
+        if isinstance(history, result.Err):
+            return result.Err(history.err_value)
+        kept = {one.revision: one for one in history.ok_value}
+        found = kept.get(revision)
+    if found is not None:
+        return result.Ok(found)
+    return result.Err(
+        errors.PeridotError(
+            'there is no such version; see peridotctl history',
+            step='version.show',
+            peer=str(revision or mesh),
+        )
+    )
 
 
 def propose(
--- /dev/null
+++ b/src/peridotpost/cli/subcommands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of ``peridotctl``, a module for each group of them."""
--- a/src/peridotpost/platform/versions.py
+++ b/src/peridotpost/platform/versions.py
@@ -77,7 +77,14 @@
     error: errors.StoreError
 
 
-Acceptance = Won | LostRace | Undecided
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotWritten:
+    """The store said no to each call; nothing was written."""
+
+    error: errors.StoreRefused
+
+
+Acceptance = Won | LostRace | NotWritten | Undecided
 
 
 def head_key(mesh: str) -> str:
@@ -198,16 +205,25 @@
     only once, since each success moves the head off the base revision.
 
     :param proposed: ``revision`` and ``number`` are ignored.
-    :raises ValueError: the stored value would be over the store's limit.
+    :raises document.DocumentError: the stored value would be over the
+        store's limit.
     """
     failure = errors.StoreError('was not asked', step='version.accept')
+    only_refused = True
     for attempt in range(attempts):
         step = await _try_accept(platform, mesh, proposed)
         if not isinstance(step, errors.StoreError):
             return step
         failure = step
+        only_refused = only_refused and isinstance(step, errors.StoreRefused)
+        if isinstance(step, errors.StoreRefused) and not isinstance(
+            step, errors.StoreOverloaded
+        ):
+            break
         if attempt + 1 < attempts:
             await sleep(min(2.0, 0.1 * 2**attempt))
+    if only_refused and isinstance(failure, errors.StoreRefused):
+        return NotWritten(failure)
     return Undecided(proposed.write_id, failure)
 
 
@@ -226,10 +242,12 @@
     number = 1 if current is None else current.number + 1
     value = to_value(dataclasses.replace(proposed, number=number))
     if len(value) > MAX_VALUE_BYTES:
-        raise ValueError(
-            f'the stored value is {len(value)} bytes, over the platform '
-            f'limit of {MAX_VALUE_BYTES}; shorten the text'
+        message = (
+            f'is {len(value)} bytes when stored, over the platform limit of '
+            f'{MAX_VALUE_BYTES}; shorten it'
         )
+        problem = document.Problem('the text', '', 0, message)
+        raise document.DocumentError([problem])
     slot = f'{history_prefix(mesh)}{number % HISTORY_SLOTS:03d}'
     swapped = await platform.swap(
         head_key(mesh),
