--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -16,6 +16,7 @@
 from peridotpost.calls import peers
 from peridotpost.calls import router as routers
 from peridotpost.decisions import pacing
+from peridotpost.decisions import seeds as seed_rules
 from peridotpost.decisions import versions as version_rules
 from peridotpost.distribution import links
 from peridotpost.distribution import reconcile
@@ -46,19 +47,14 @@
 class ReplicaMembers:
     """Shows the replica to the prober."""
 
-    def __init__(self, replica: replicas.Replica, zone: str) -> None:
+    def __init__(self, replica: replicas.Replica) -> None:
         self.replica = replica
-        self.zone = zone
 
     def record_of(self, host: str) -> members.MemberRecord | None:
         return self.replica.fleet.records.get(host)
 
-    def live_in_zone(self) -> list[members.MemberRecord]:
-        return [
-            one
-            for one in self.replica.fleet.live()
-            if one.availability_zone == self.zone
-        ]
+    def live(self) -> list[members.MemberRecord]:
+        return list(self.replica.fleet.live())
 
     def offer(self, record: members.MemberRecord) -> None:
         self.replica.offer_member(record, 'probe')
@@ -138,7 +134,8 @@
         )
         prober = probing.Prober(
             given.host,
-            ReplicaMembers(replica, zone),
+            zone,
+            ReplicaMembers(replica),
             clock,
             counts,
             self.randomness,
@@ -282,23 +279,25 @@
         kernel = self.kernel
         source = kernel.find('source', sources.Source)
         ups = kernel.find('uplinks', uplinks.Uplinks)
-        store = kernel.find('store', etcd.EtcdStore)
-        backoff = pacing.Backoff(self.randomness)
+        keeper = kernel.find('seeds', seeds.SeedKeeper)
+        start = seed_rules.StartPacing(
+            self.randomness, given.timing.start_spread_s
+        )
+        await asyncio.sleep(start.first_delay())
         while True:
-            read = await source.read_once()
-            found = await seeds.find_seeds(
-                store, given.mesh, given.availability_zone, self.randomness
-            )
+            found = await keeper.find(given.availability_zone, self.randomness)
+            read = False
             addresses = list(given.peers)
             self.randomness.shuffle(addresses)
             if isinstance(found, result.Ok):
+                read = await source.read_once()
                 addresses += [one.control_address for one in found.ok_value]
             mine = kernel.find('myself', own.Myself).record.control_address
             addresses = [one for one in addresses if one != mine]
             ups.bootstrap = tuple(addresses)
             if await self._ask_peers(read, addresses):
                 return
-            await asyncio.sleep(backoff.next_delay())
+            await asyncio.sleep(start.next_delay())
 
     async def _ask_peers(self, store_read: bool, addresses: list[str]) -> bool:
         """Ask a few peers at a time until enough of them answered."""
@@ -371,12 +370,10 @@
         """
         kernel = self.kernel
         given = self.settings
-        store = kernel.find('store', etcd.EtcdStore)
+        keeper = kernel.find('seeds', seeds.SeedKeeper)
         replica = kernel.find('replica', replicas.Replica)
         reconciler = kernel.find('reconciler', reconcile.Reconciler)
-        found = await seeds.find_seeds(
-            store, given.mesh, given.availability_zone, self.randomness
-        )
+        found = await keeper.find(given.availability_zone, self.randomness)
         if isinstance(found, result.Err):
             return
         asked: set[str] = set()
