Admit by deadline, class, caller and key at a target's gate

Cause: the gate served first come, first served, with no shares among callers, keys or work classes, and told every refused caller the same time to come back. The gate now decides all of it as one pure object; the guard only keeps the futures. On the way two faults of the ingress were found and mended: a caller that left while its call waited went unnoticed (the delegate's on_connection_close is only called while a request is read), and an exception while answering left the caller without any word.

Failed try: callers' charges swept every 1024 starts: virtual time stands still while nobody waits, so the table grew for good (5000 callers, 5000 entries). Charges now end when the queue does.

--- a/src/peridotpost/calls/guard.py
+++ b/src/peridotpost/calls/guard.py
@@ -13,6 +13,7 @@
 
 from peridotpost.calls import connections
 from peridotpost.decisions import admission
+from peridotpost.decisions import fairness
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
 from peridotpost.kernel import timeline
@@ -31,10 +32,13 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetGate:
-    """A target's gate and those who wait at it, first come first."""
+    """A target's gate and the futures of those who wait at it.
+
+    A future gives whether its request may run.
+    """
 
     gate: admission.Gate
-    waiters: collections.deque[asyncio.Future[None]]
+    waiters: dict[fairness.Ticket, asyncio.Future[bool]]
 
 
 class Guard:
@@ -97,11 +101,10 @@
         spec = self.replica.version.services[call.service]
         target = self.targets.found[(call.service, name)]
         gate = self._gate(target, spec)
-        if not gate.gate.admits(call.budget_ms):
-            return self._refused(call, self._full(gate, name))
-        if not await self._wait_turn(gate, call.budget_ms / 1000):
-            return self._refused(call, self._full(gate, name))
-        with self._slot(gate):
+        ticket = _ticket(call, spec, began)
+        if not await self._wait_turn(gate, ticket):
+            return self._refused(call, self._full(call, gate, name))
+        with self._slot(gate, ticket):
             # The target may have begun to drain while the call waited.
             refusal = self._refusal(call, name)
             if refusal is not None:
@@ -130,11 +133,18 @@
             )
         return None
 
-    def _full(self, gate: TargetGate, name: str) -> calls.NotRun:
+    def _full(
+        self, call: calls.Call, gate: TargetGate, name: str
+    ) -> calls.NotRun:
+        now = self.clock.now()
+        if call.budget_ms <= 0:
+            return calls.NotRun(
+                calls.NotRunReason.DEADLINE, 'its deadline has passed'
+            )
         return calls.NotRun(
             calls.NotRunReason.FULL,
             f'target {name!r} is full',
-            gate.gate.retry_after_ms(),
+            gate.gate.retry_after_ms(now),
         )
 
     def _refused(
@@ -152,51 +162,77 @@
         key = (target.service, target.name)
         found = self.gates.get(key)
         if found is None:
-            gate = admission.Gate(target.slots, spec.limits.queue)
-            found = TargetGate(gate, collections.deque())
+            gate = admission.Gate(
+                target.slots, spec.limits.queue, self.clock.randomness
+            )
+            found = TargetGate(gate, {})
             self.gates[key] = found
         found.gate.slots = target.slots
         found.gate.queue = spec.limits.queue
         return found
 
-    async def _wait_turn(self, gate: TargetGate, budget_s: float) -> bool:
-        """Wait for a slot; False when the time is up first."""
-        if gate.gate.running < gate.gate.slots and not gate.waiters:
-            gate.gate.started()
+    async def _wait_turn(
+        self, gate: TargetGate, ticket: fairness.Ticket
+    ) -> bool:
+        """Wait for a slot; False if the call is refused instead."""
+        step = gate.gate.arrive(ticket, self.clock.now())
+        self._take_step(gate, step)
+        if ticket in step.started:
             return True
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        gate.waiters.append(turn)
-        gate.gate.waiting += 1
+        if ticket in step.refused:
+            return False
+        turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        gate.waiters[ticket] = turn
+        # The gate refuses what it gives up on; this timer is for a target
+        # that has stopped altogether, when nothing happens at its gate.
+        timer = asyncio.get_running_loop().call_later(
+            ticket.deadline - self.clock.now(), _give_up, turn
+        )
         try:
-            await asyncio.wait_for(asyncio.shield(turn), budget_s)
-        except TimeoutError:
-            if not turn.done():
-                return False
+            may_run = await turn
         except asyncio.CancelledError:
-            if turn.done():
-                self._free(gate, 0.0)
+            if turn.done() and not turn.cancelled() and turn.result():
+                self._free(gate, ticket)
+            gate.gate.withdraw(ticket)
             raise
         finally:
-            gate.gate.waiting -= 1
-            if turn in gate.waiters:
-                gate.waiters.remove(turn)
-        return True
+            timer.cancel()
+            gate.waiters.pop(ticket, None)
+        if not may_run:
+            gate.gate.withdraw(ticket)
+        return may_run
 
     @contextlib.contextmanager
-    def _slot(self, gate: TargetGate) -> Iterator[None]:
-        began = self.clock.now()
+    def _slot(
+        self, gate: TargetGate, ticket: fairness.Ticket
+    ) -> Iterator[None]:
         try:
             yield
         finally:
-            self._free(gate, (self.clock.now() - began) * 1000)
+            self._free(gate, ticket)
+
+    def _free(self, gate: TargetGate, ticket: fairness.Ticket) -> None:
+        self._take_step(gate, gate.gate.finish(ticket, self.clock.now()))
+
+    def _take_step(self, gate: TargetGate, step: admission.Step) -> None:
+        for ticket in step.refused:
+            turn = gate.waiters.get(ticket)
+            if turn is not None and not turn.done():
+                turn.set_result(False)
+        for ticket in step.started:
+            turn = gate.waiters.get(ticket)
+            if turn is None:
+                continue
+            if turn.done():
+                # Given up on or gone in this same turn of the loop.
+                self._free(gate, ticket)
+            else:
+                turn.set_result(True)
 
-    def _free(self, gate: TargetGate, held_ms: float) -> None:
-        gate.gate.finished(held_ms)
-        while gate.waiters and gate.gate.running < gate.gate.slots:
-            turn = gate.waiters.popleft()
-            if not turn.done():
-                gate.gate.started()
-                turn.set_result(None)
+    def load_of(self, service: str, name: str) -> float:
+        """Return what runs and waits at a target, per slot."""
+        found = self.gates.get((service, name))
+        return found.gate.load() if found is not None else 0.0
 
     async def _dispatch(
         self,
@@ -252,6 +288,26 @@
         return calls.OutcomeUnknown(detail, self.replica.host)
 
 
+def _ticket(
+    call: calls.Call, spec: config.ServiceSpec, now: float
+) -> fairness.Ticket:
+    # The idempotent calls of a service of long jobs are its status reads.
+    long = spec.work_class is config.WorkClass.LONG and not call.idempotent
+    work_class = config.WorkClass.LONG if long else config.WorkClass.SHORT
+    return fairness.Ticket(
+        caller=call.caller,
+        key=call.key or call.path,
+        work_class=work_class,
+        arrived=now,
+        deadline=now + call.budget_ms / 1000,
+    )
+
+
+def _give_up(turn: asyncio.Future[bool]) -> None:
+    if not turn.done():
+        turn.set_result(False)
+
+
 def _for_target(call: calls.Call, left_ms: int) -> calls.Call:
     """Return the call with the headers that a target is to see."""
     added = [
--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -11,6 +11,8 @@
 import random
 import uuid
 
+import eliot
+from tornado import http1connection
 from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
@@ -31,6 +33,11 @@
 MAX_BODY_BYTES = 16_777_216
 KEY_HEADER = 'Idempotency-Key'
 FROM_HEADER = 'Peridot-From'
+CALLER_HEADER = 'Peridot-Caller'
+MAX_CALLER_LENGTH = 64
+MAX_DIGITS = 18
+UNKNOWN_BODY_BYTES = 65_536
+"""Kept of a request to no known service, only to answer it."""
 MAX_KEY_LENGTH = 128
 OWN_HEADERS = connections.HOP_HEADERS | {
     'idempotency-key',
@@ -38,6 +45,7 @@
     'peridot-depth',
     'peridot-request-id',
     'peridot-from',
+    'peridot-caller',
 }
 
 
@@ -98,11 +106,12 @@
         headers: httputil.HTTPHeaders,
         body: bytes,
         request_id: str,
+        source: str = '',
     ) -> calls.Answer:
         """Return the one answer to a request that was read whole."""
         self.counts.add('ingress.requests')
         try:
-            call = self.to_call(start, headers, body, request_id)
+            call = self.to_call(start, headers, body, request_id, source)
         except RefusedRequest as error:
             self.counts.add(f'ingress.refused.{error.refusal.reason.value}')
             return problems.to_answer(error.refusal, request_id)
@@ -116,12 +125,20 @@
         )
         return problems.to_answer(outcome, request_id)
 
+    def body_limit(self, headers: httputil.HTTPHeaders) -> int:
+        """Return how many bytes of a request's body are kept."""
+        route = self.replica.table.routes.get(_service(headers))
+        if route is None:
+            return UNKNOWN_BODY_BYTES
+        return route.spec.limits.body_bytes
+
     def to_call(
         self,
         start: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
         body: bytes,
         request_id: str,
+        source: str = '',
     ) -> calls.Call:
         """Check a request against the configuration.
 
@@ -131,7 +148,7 @@
             raise RefusedRequest(
                 calls.NotRunReason.NOT_READY, 'this daemon is not serving'
             )
-        service = headers.get('Host', '').split(':')[0].split('.')[0].lower()
+        service = _service(headers)
         route = self.replica.table.routes.get(service)
         if route is None:
             raise RefusedRequest(
@@ -141,11 +158,6 @@
             )
         self._check_allowed(service, headers)
         spec = route.spec
-        if len(body) > spec.limits.body_bytes:
-            raise RefusedRequest(
-                calls.NotRunReason.TOO_LARGE,
-                f'the body is over {spec.limits.body_bytes} bytes',
-            )
         rule = spec.rule_for(start.method, start.path)
         depth = _number(headers, guards.DEPTH_HEADER, 0)
         if depth >= MAX_DEPTH:
@@ -164,6 +176,7 @@
             idempotent=rule.idempotent,
             key='' if rule.idempotent else _key(headers),
             depth=depth,
+            caller=_caller(headers, source),
         )
 
     def _check_allowed(
@@ -199,6 +212,8 @@
         self.start: httputil.RequestStartLine | None = None
         self.headers = httputil.HTTPHeaders()
         self.chunks: list[bytes] = []
+        self.size = 0
+        self.limit = 0
         self.work: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -209,14 +224,39 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self.start = start_line
         self.headers = headers
+        self.limit = self.ingress.body_limit(headers)
+        declared = headers.get('Content-Length', '')
+        if declared.isdigit() and len(declared) < MAX_DIGITS:
+            self.size = int(declared)
+        if self.size <= self.limit:
+            self.size = 0
+        elif self.size > MAX_BODY_BYTES or 'Expect' in headers:
+            # Refused before its body is sent, or in the middle of one
+            # that is too long to be read to its end.
+            if isinstance(self.connection, http1connection.HTTP1Connection):
+                self.connection.set_max_body_size(self.size)
+            self.finish()
 
     def data_received(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
+        # A body over the limit is read to its end, but not kept: a caller
+        # that is still sending would lose the answer to a reset.
+        self.size += len(chunk)
+        if self.size > self.limit:
+            self.chunks.clear()
+        else:
+            self.chunks.append(chunk)
 
     def finish(self) -> None:
+        if self.work is not None:
+            return
         self.ingress.in_flight += 1
         self.work = asyncio.ensure_future(self._serve())
         self.work.add_done_callback(self._served)
+        # The delegate's own `on_connection_close` is only called while a
+        # request is read; without this a caller that leaves while it
+        # waits goes unnoticed and its call holds a slot to the end.
+        if isinstance(self.connection, http1connection.HTTP1Connection):
+            self.connection.set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
         if self.work is not None:
@@ -228,15 +268,38 @@
         if not work.cancelled() and work.exception() is not None:
             self.ingress.counts.add('ingress.failed')
 
+    async def _answer(self, request_id: str) -> calls.Answer:
+        assert self.start is not None
+        if self.size > self.limit:
+            refusal = calls.NotRun(
+                calls.NotRunReason.TOO_LARGE,
+                f'the body is over {self.limit} bytes',
+            )
+            return problems.to_answer(refusal, request_id)
+        context = getattr(self.connection, 'context', None)
+        try:
+            return await self.ingress.answer(
+                self.start,
+                self.headers,
+                b''.join(self.chunks),
+                request_id,
+                getattr(context, 'remote_ip', ''),
+            )
+        except Exception:
+            # A fault of ours must not leave the caller without a word; the
+            # call may be under way, so the word is "unknown".
+            self.ingress.counts.add('ingress.failed')
+            eliot.write_traceback()
+            unknown = calls.OutcomeUnknown('the daemon failed on this call')
+            return problems.to_answer(unknown, request_id)
+
     async def _serve(self) -> None:
         assert self.start is not None
         request_id = (
             self.headers.get(guards.REQUEST_ID_HEADER, '')[:64]
             or self.ingress.new_request_id()
         )
-        answer = await self.ingress.answer(
-            self.start, self.headers, b''.join(self.chunks), request_id
-        )
+        answer = await self._answer(request_id)
         headers = httputil.HTTPHeaders()
         for header in answer.headers:
             headers.add(header.name, header.value)
@@ -257,11 +320,17 @@
             await written
 
 
+def _service(headers: httputil.HTTPHeaders) -> str:
+    host = headers.get('Host', '')
+    return host.partition(':')[0].partition('.')[0].lower()
+
+
 def _number(headers: httputil.HTTPHeaders, name: str, default: int) -> int:
     raw = headers.get(name)
     if raw is None:
         return default
-    if not raw.isascii() or not raw.isdigit():
+    # int() itself raises beyond some thousand digits.
+    if not raw.isascii() or not raw.isdigit() or len(raw) > MAX_DIGITS:
         raise RefusedRequest(
             calls.NotRunReason.BAD_KEY, f'{name} is not a whole number'
         )
@@ -280,6 +349,12 @@
     return key
 
 
+def _caller(headers: httputil.HTTPHeaders, source: str) -> str:
+    """Return who sends: as named, else a service, else its address."""
+    named = headers.get(CALLER_HEADER) or headers.get(FROM_HEADER) or source
+    return named[:MAX_CALLER_LENGTH]
+
+
 def _passed_on(headers: httputil.HTTPHeaders) -> tuple[calls.Header, ...]:
     return tuple(
         calls.Header(name, value)
--- a/src/peridotpost/model/calls.py
+++ b/src/peridotpost/model/calls.py
@@ -20,6 +20,7 @@
         since clocks of different hosts differ.
     :param depth: how many calls of the mesh led to this one.
     :param key: idempotency key, empty for an idempotent call.
+    :param caller: who sends it, for fair shares; empty if unknown.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     idempotent: bool
     key: str = ''
     depth: int = 0
+    caller: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/testing/test_fairness.py
@@ -0,0 +1,112 @@
+"""Shares among callers and keys at a full target."""
+
+import random
+
+import pytest
+
+from peridotpost.decisions import admission
+from peridotpost.decisions import fairness
+from testing import gateload
+
+SLOTS = 12
+CAPACITY = 600.0
+
+
+def flow(factor: float, seed: int, **of: object) -> list[gateload.Request]:
+    return gateload.poisson(
+        factor * CAPACITY, 4, seed, work_s=0.02, deadline_s=1.0, **of
+    )
+
+
+@pytest.mark.parametrize(
+    ('hot', 'others', 'least'),
+    [
+        pytest.param(
+            [{'caller': 'hot'}], [{'caller': 'b'}], 0.97, id='one-hot-caller'
+        ),
+        # All ask the same: no key is hotter, so the callers' shares decide.
+        pytest.param(
+            [{'caller': 'hot', 'key': '/'}],
+            [{'caller': 'b', 'key': '/'}],
+            0.97,
+            id='hot-caller-same-key',
+        ),
+        pytest.param(
+            [{'caller': c, 'key': 'hot'} for c in 'vwxyz'],
+            [{'caller': c, 'key': c} for c in 'vwxyz'],
+            0.85,
+            id='hot-key-of-all-callers',
+        ),
+    ],
+)
+def test_others_are_served_beside_a_hot_flow(
+    hot: list[dict[str, str]], others: list[dict[str, str]], least: float
+) -> None:
+    """A hot flow sends three times what the target can run.
+
+    It is one caller, or all callers about one key; the others need three
+    tenths of the capacity.  First come, first served, they get what is
+    left: late answers.
+    """
+    requests = [
+        one
+        for seed, (factor, of) in enumerate(
+            [(3 / len(hot), one) for one in hot]
+            + [(0.3 / len(others), one) for one in others]
+        )
+        for one in flow(factor, seed, **of)
+    ]
+    fifo = gateload.drive(gateload.PlainFifo(SLOTS), requests)
+    gated = gateload.drive(
+        admission.Gate(SLOTS, 64, random.Random(1)), requests
+    )
+    for of in others:
+        assert gateload.share(fifo, gateload.IN_TIME, **of) < 0.2
+        assert gateload.share(gated, gateload.IN_TIME, **of) >= least
+    # What the others do not use goes to the hot flow, none is wasted.
+    assert gateload.share(gated, gateload.IN_TIME, **hot[0]) >= 0.18
+    assert gateload.share(gated, gateload.LATE) == 0
+
+
+def test_caller_that_was_away_has_saved_up_no_claim() -> None:
+    """One caller is served a thousand times while another is away.
+
+    The other must not then be served a thousand times in a row.
+    """
+    shares = fairness.Shares()
+    queue = fairness.FairQueue()
+
+    def ticket(caller: str, at: float) -> fairness.Ticket:
+        return fairness.Ticket(caller, caller, gateload.SHORT, at, 9.0)
+
+    shares.start(ticket('back', 0.0))
+    for _ in range(1000):
+        shares.start(ticket('busy', 0.0))
+    shares.running_keys.clear()
+    for number in range(10):
+        queue.push(ticket('busy', number))
+        queue.push(ticket('back', number))
+    served = []
+    for _ in range(10):
+        one = queue.pop(shares, SLOTS, newest_first=False)
+        assert one is not None
+        shares.start(one)
+        shares.finish(one)
+        served.append(one.caller)
+    assert served.count('busy') >= 4
+
+
+@pytest.mark.parametrize('standing', [False, True])
+def test_table_of_callers_does_not_grow_for_good(standing: bool) -> None:
+    gate = admission.Gate(1, 8, random.Random(1))
+    if standing:
+        for _ in range(2):
+            gate.arrive(fairness.Ticket('a', '', gateload.LONG, 0.0, 9.0), 0.0)
+    running: tuple[fairness.Ticket, ...] = ()
+    for number in range(9000):
+        ticket = fairness.Ticket(str(number), 'k', gateload.SHORT, 0.0, 9.0)
+        running = gate.arrive(ticket, 0.0).started or running
+        if running:
+            running = gate.finish(running[0], 0.0).started
+    assert len(gate.shares.served) <= fairness.MAX_CALLERS
+    assert len(gate.shares.running_keys) <= 1
