Caller contract on real sockets, and the faults that it found

Tables of bad, cut and oversized requests, headers both ways, pipelining, cancellation by idempotency, many callers at once. Found and mended: - a body over the limit was kept whole (16 MB a caller) before the refusal; now it is dropped while it is read, and with Expect or an absurd length it is refused before it is sent.

--- a/src/peridotpost/calls/connections.py
+++ b/src/peridotpost/calls/connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+from collections.abc import Collection
 import dataclasses
 import socket
 
@@ -41,6 +42,25 @@
 """RFC 9110 section 7.6.1: meant for one connection; never passed on."""
 
 
+def end_to_end(
+    headers: httputil.HTTPHeaders, dropped: Collection[str]
+) -> tuple[calls.Header, ...]:
+    """Return the headers that are passed on.
+
+    :param dropped: names in lower case; those that ``Connection`` lists
+        are dropped as well.
+    """
+    listed = headers.get('Connection')
+    if listed is not None:
+        names = {name.strip().lower() for name in listed.split(',')}
+        dropped = names.union(dropped)
+    return tuple(
+        calls.Header(name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in dropped
+    )
+
+
 class ConnectFailed(Exception):
     """No connection, hence nothing was sent."""
 
@@ -136,11 +156,7 @@
         return calls.Answer(
             status=self.start.code,
             reason=self.start.reason,
-            headers=tuple(
-                calls.Header(name, value)
-                for name, value in self.headers.get_all()
-                if name.lower() not in self.dropped
-            ),
+            headers=end_to_end(self.headers, self.dropped),
             body=b''.join(self.chunks),
         )
 
--- a/src/peridotpost/calls/guard.py
+++ b/src/peridotpost/calls/guard.py
@@ -26,6 +26,9 @@
 
 LEDGER_ENTRIES = 20_000
 """At 102 calls/s, a third of them non-idempotent, ten minutes of keys."""
+SAME_CRASH_S = 1.0
+"""Calls lost within this were lost in one crash of the target: a restart
+takes longer, and one request must not be blamed twice for it."""
 TIMEOUT_HEADER = 'Peridot-Timeout-Ms'
 DEPTH_HEADER = 'Peridot-Depth'
 REQUEST_ID_HEADER = 'Peridot-Request-Id'
@@ -65,7 +68,7 @@
             str, asyncio.Future[calls.Outcome]
         ] = collections.OrderedDict()
         self.poison = poison.PoisonList()
-        self.incidents: dict[tuple[str, str], str] = {}
+        self.crashed_at: dict[tuple[str, str], float] = {}
         self.in_flight = 0
         self.leaving = False
 
@@ -303,10 +306,10 @@
         """Note a crash under `call`; calls lost together share an incident."""
         key = (target.service, target.name)
         now = self.clock.now()
-        if key in self.targets.found or key not in self.incidents:
-            self.incidents[key] = f'{now:.3f}'
-            self.targets.withdraw(*key, 'crashed')
-        incident = self.incidents[key]
+        if now - self.crashed_at.get(key, -SAME_CRASH_S) >= SAME_CRASH_S:
+            self.crashed_at[key] = now
+        self.targets.withdraw(*key, 'crashed')
+        incident = f'{self.crashed_at[key]:.3f}'
         self.heard_of_crash(
             poison.fingerprints(call),
             f'{self.replica.host}/{target.name}',
@@ -325,6 +328,17 @@
         self.counts.add('guard.crash-noted')
         self.poison.crashed(names, target, incident, self.clock.now())
 
+    def forget(self) -> None:
+        """Drop what is kept of targets that are gone for good."""
+        for key, held in tuple(self.gates.items()):
+            gate = held.gate
+            if key not in self.targets.found and not gate.running:
+                if not gate.waiting:
+                    del self.gates[key]
+        for key in tuple(self.crashed_at):
+            if key not in self.targets.found:
+                del self.crashed_at[key]
+
     def _unknown(self, detail: str) -> calls.OutcomeUnknown:
         return calls.OutcomeUnknown(detail, self.replica.host)
 
--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -94,9 +94,6 @@
     ) -> httputil.HTTPMessageDelegate:
         return _Request(self, request_conn)
 
-    def on_close(self, server_conn: object) -> None:
-        self.counts.add('ingress.closed')
-
     def new_request_id(self) -> str:
         return f'{self.randomness.getrandbits(64):016x}'
 
@@ -149,6 +146,11 @@
                 calls.NotRunReason.NOT_READY, 'this daemon is not serving'
             )
         service = _service(headers)
+        if not service:
+            raise RefusedRequest(
+                calls.NotRunReason.BAD_REQUEST,
+                'the request names no service; name one in Host',
+            )
         route = self.replica.table.routes.get(service)
         if route is None:
             raise RefusedRequest(
@@ -170,7 +172,7 @@
             service=service,
             method=start.method,
             path=start.path,
-            headers=_passed_on(headers),
+            headers=connections.end_to_end(headers, OWN_HEADERS),
             body=body,
             budget_ms=min(asked_ms, rule.deadline_ms),
             idempotent=rule.idempotent,
@@ -214,6 +216,7 @@
         self.chunks: list[bytes] = []
         self.size = 0
         self.limit = 0
+        self.refused = False
         self.work: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -235,7 +238,9 @@
             # that is too long to be read to its end.
             if isinstance(self.connection, http1connection.HTTP1Connection):
                 self.connection.set_max_body_size(self.size)
-            self.finish()
+            self.refused = True
+            request_id = self._request_id()
+            self._write(self._too_large(request_id), request_id)
 
     def data_received(self, chunk: bytes) -> None:
         # A body over the limit is read to its end, but not kept: a caller
@@ -247,7 +252,7 @@
             self.chunks.append(chunk)
 
     def finish(self) -> None:
-        if self.work is not None:
+        if self.refused:
             return
         self.ingress.in_flight += 1
         self.work = asyncio.ensure_future(self._serve())
@@ -271,11 +276,7 @@
     async def _answer(self, request_id: str) -> calls.Answer:
         assert self.start is not None
         if self.size > self.limit:
-            refusal = calls.NotRun(
-                calls.NotRunReason.TOO_LARGE,
-                f'the body is over {self.limit} bytes',
-            )
-            return problems.to_answer(refusal, request_id)
+            return self._too_large(request_id)
         context = getattr(self.connection, 'context', None)
         try:
             return await self.ingress.answer(
@@ -293,13 +294,28 @@
             unknown = calls.OutcomeUnknown('the daemon failed on this call')
             return problems.to_answer(unknown, request_id)
 
-    async def _serve(self) -> None:
-        assert self.start is not None
-        request_id = (
-            self.headers.get(guards.REQUEST_ID_HEADER, '')[:64]
-            or self.ingress.new_request_id()
+    def _too_large(self, request_id: str) -> calls.Answer:
+        self.ingress.counts.add('ingress.refused.too-large')
+        refusal = calls.NotRun(
+            calls.NotRunReason.TOO_LARGE,
+            f'the body is over {self.limit} bytes',
         )
+        return problems.to_answer(refusal, request_id)
+
+    def _request_id(self) -> str:
+        given = self.headers.get(guards.REQUEST_ID_HEADER, '')
+        return given[:64] or self.ingress.new_request_id()
+
+    async def _serve(self) -> None:
+        request_id = self._request_id()
         answer = await self._answer(request_id)
+        with contextlib.suppress(iostream.StreamClosedError):
+            await self._write(answer, request_id)
+
+    def _write(
+        self, answer: calls.Answer, request_id: str
+    ) -> asyncio.Future[None]:
+        assert self.start is not None
         headers = httputil.HTTPHeaders()
         for header in answer.headers:
             headers.add(header.name, header.value)
@@ -312,12 +328,11 @@
         line = httputil.ResponseStartLine(
             'HTTP/1.1', answer.status, answer.reason
         )
-        with contextlib.suppress(iostream.StreamClosedError):
-            written = self.connection.write_headers(
-                line, headers, answer.body if not bodiless else None
-            )
-            self.connection.finish()
-            await written
+        written = self.connection.write_headers(
+            line, headers, answer.body if not bodiless else None
+        )
+        self.connection.finish()
+        return written
 
 
 def _service(headers: httputil.HTTPHeaders) -> str:
@@ -332,7 +347,7 @@
     # int() itself raises beyond some thousand digits.
     if not raw.isascii() or not raw.isdigit() or len(raw) > MAX_DIGITS:
         raise RefusedRequest(
-            calls.NotRunReason.BAD_KEY, f'{name} is not a whole number'
+            calls.NotRunReason.BAD_REQUEST, f'{name} is not a whole number'
         )
     return int(raw)
 
@@ -355,14 +370,6 @@
     return named[:MAX_CALLER_LENGTH]
 
 
-def _passed_on(headers: httputil.HTTPHeaders) -> tuple[calls.Header, ...]:
-    return tuple(
-        calls.Header(name, value)
-        for name, value in headers.get_all()
-        if name.lower() not in OWN_HEADERS
-    )
-
-
 @contextlib.asynccontextmanager
 async def serving(
     ingress: Ingress, address: str, port: int, setting: str
--- a/src/peridotpost/calls/problems.py
+++ b/src/peridotpost/calls/problems.py
@@ -14,6 +14,7 @@
     calls.NotRunReason.NO_SERVICE: 404,
     calls.NotRunReason.FORBIDDEN: 403,
     calls.NotRunReason.BAD_KEY: 400,
+    calls.NotRunReason.BAD_REQUEST: 400,
     calls.NotRunReason.TOO_LARGE: 413,
     calls.NotRunReason.DEADLINE: 504,
 }
--- a/src/peridotpost/calls/router.py
+++ b/src/peridotpost/calls/router.py
@@ -201,6 +201,7 @@
         self.book.forget(now)
         self.ejector.forget(now)
         self.guard.poison.forget(now)
+        self.guard.forget()
 
     async def _send(
         self, call: calls.Call, endpoint: routing.Endpoint
--- a/src/peridotpost/model/calls.py
+++ b/src/peridotpost/model/calls.py
@@ -57,6 +57,7 @@
     UNREACHABLE = 'unreachable'
     NOT_READY = 'not-ready'
     BAD_KEY = 'bad-key'
+    BAD_REQUEST = 'bad-request'
     TOO_LARGE = 'too-large'
     FORBIDDEN = 'forbidden'
     POISON = 'poison'
--- /dev/null
+++ b/testing/callpath.py
@@ -0,0 +1,343 @@
+"""The path of calls of one or two daemons, in this process, on sockets.
+
+Everything between a caller's socket and a target's is the real thing; only
+the distribution of configuration and membership is left out: each node is
+handed its facts.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import random
+
+from peridotpost.border import text
+from peridotpost.calls import connections
+from peridotpost.calls import guard as guards
+from peridotpost.calls import ingress as ingresses
+from peridotpost.calls import peers
+from peridotpost.calls import router as routers
+from peridotpost.distribution import replica as replicas
+from peridotpost.kernel import counters
+from peridotpost.kernel import timeline
+from peridotpost.kernel import timers
+from peridotpost.membership import myself as own
+from peridotpost.membership import targets as local
+from peridotpost.model import config
+from peridotpost.model import members
+from peridotpost.standins import target as standin
+
+TEXT = """
+mesh: test
+availability_zones: [a, b]
+services:
+  read:
+    idempotent: true
+    deadline_ms: 3000
+    limits: {body_bytes: 1000, answer_bytes: 5000}
+  write:
+    depends_on: [hidden]
+    deadline_ms: 3000
+    limits: {body_bytes: 1000, answer_bytes: 5000}
+  hidden:
+    internal: true
+    idempotent: true
+"""
+WAIT_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One daemon's part in calls."""
+
+    host: str
+    zone: str
+    replica: replicas.Replica
+    myself: own.Myself
+    targets: local.LocalTargets
+    guard: guards.Guard
+    router: routers.Router
+    streams: peers.PeerStreams
+    counts: counters.Counters
+    clock: timers.TimerService
+    port: int = 0
+    egress_port: int = 0
+
+    def announce(self, service: str, port: int, **options: int) -> None:
+        """Have a target of `service` run here, at `port`."""
+        self.targets.announce(
+            local.LocalTarget(
+                service=service,
+                name=f't-{self.host}',
+                port=port,
+                slots=options.get('slots', 4),
+                connections=options.get('connections', 40),
+                state=members.TargetState(options.get('state', 1)),
+                good_until=float('inf'),
+            )
+        )
+
+    def meet(self, *others: 'Node') -> None:
+        for other in others:
+            self.replica.offer_member(other.myself.record, 'test')
+
+
+@contextlib.asynccontextmanager
+async def node(
+    host: str, zone: str = 'a', mesh_text: str = TEXT
+) -> AsyncIterator[Node]:
+    """Run a node; its own record follows its targets."""
+    randomness = random.Random(host)
+    counts = counters.Counters()
+    async with contextlib.AsyncExitStack() as stack:
+        clock = stack.enter_context(timers.timer_service(randomness))
+        events = timeline.Timeline(host, clock.wall)
+        replica = replicas.Replica(
+            host, config.EVERYTHING, clock, events, counts
+        )
+        mesh = text.read_text(mesh_text, 'test')
+        replica.offer_whole(text.to_config(mesh, 1, 'w'), 'test')
+        myself = own.Myself(
+            members.MemberRecord(
+                host,
+                zone,
+                1,
+                members.Status.ALIVE,
+                1,
+                '127.0.0.1',
+                0,
+                0,
+                0,
+                0,
+            )
+        )
+        targets = local.LocalTargets(myself, 3.0, counts)
+        pool = connections.ConnectionPool(counts)
+        stack.callback(pool.close)
+        guard = guards.Guard(replica, targets, pool, clock, events, counts)
+        streams = peers.PeerStreams(counts)
+        stack.push_async_callback(streams.close)
+        router = routers.Router(
+            replica, guard, streams, clock, events, counts, zone, randomness
+        )
+        one = Node(
+            host,
+            zone,
+            replica,
+            myself,
+            targets,
+            guard,
+            router,
+            streams,
+            counts,
+            clock,
+        )
+        call_port = await stack.enter_async_context(
+            peers.serving(peers.PeerServer(guard, counts), '127.0.0.1', 0)
+        )
+        for for_targets in (False, True):
+            ingress = ingresses.Ingress(
+                replica,
+                router,
+                myself,
+                targets,
+                events,
+                counts,
+                randomness,
+                for_targets=for_targets,
+            )
+            port = await stack.enter_async_context(
+                ingresses.serving(ingress, '127.0.0.1', 0, 'caller_port')
+            )
+            if for_targets:
+                one.egress_port = port
+            else:
+                one.port = port
+        myself.changed.subscribe(lambda record: _follow(replica, record))
+        myself.set_ports(call_port, 0)
+        replica.offer_member(myself.record, 'test')
+        myself.stage = own.Stage.READY
+        yield one
+
+
+def _follow(replica: replicas.Replica, record: members.MemberRecord) -> None:
+    replica.offer_member(record, '')
+
+
+@contextlib.asynccontextmanager
+async def standin_target(
+    service: str, **options: object
+) -> AsyncIterator[standin.Target]:
+    """Run a stand-in target in this process; announces itself to nobody."""
+    settings = standin.TargetSettings.model_validate(
+        {'service': service, 'name': service, **options}
+    )
+    one = standin.Target(settings)
+    async with standin.serving(one):
+        yield one
+
+
+Script = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], 'asyncio.Future[None]'
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Scripted:
+    """A server whose every connection follows a script of the test."""
+
+    port: int = 0
+    accepted: int = 0
+    requests: list[bytes] = dataclasses.field(default_factory=list)
+
+    async def read_request(self, reader: asyncio.StreamReader) -> bytes:
+        """Read one request with its body."""
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = 0
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                length = int(line.partition(b':')[2])
+        request = head + await reader.readexactly(length)
+        self.requests.append(request)
+        return request
+
+
+@contextlib.asynccontextmanager
+async def scripted(
+    script: Callable[
+        [Scripted, asyncio.StreamReader, asyncio.StreamWriter], object
+    ],
+) -> AsyncIterator[Scripted]:
+    """Serve `script`, an async function, on a free port."""
+    state = Scripted()
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        state.accepted += 1
+        task = asyncio.current_task()
+        assert task is not None
+        tasks.add(task)
+        with contextlib.suppress(OSError, EOFError, asyncio.CancelledError):
+            result = script(state, reader, writer)
+            assert asyncio.iscoroutine(result)
+            await result
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    state.port = server.sockets[0].getsockname()[1]
+    try:
+        yield state
+    finally:
+        server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What a caller read from its socket."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Return a header's first value, empty if there is none."""
+        for found, value in self.headers:
+            if found.lower() == name.lower():
+                return value
+        return ''
+
+    @property
+    def word(self) -> str:
+        """Return ``not-run``, ``unknown``, or ``answered``."""
+        return self.header('Peridot-Outcome') or 'answered'
+
+
+class Caller:
+    """A caller's connection, on which any bytes can be sent."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, raw: bytes) -> None:
+        self.writer.write(raw)
+        await self.writer.drain()
+
+    async def reply(self, head: bool = False) -> Reply:
+        """Read one answer; `head` if the request was HEAD."""
+        raw = await asyncio.wait_for(
+            self.reader.readuntil(b'\r\n\r\n'), WAIT_S
+        )
+        first, *lines = raw.decode('latin1').strip('\r\n').split('\r\n')
+        headers = [
+            (name, value.strip())
+            for name, _, value in (line.partition(':') for line in lines)
+        ]
+        one = Reply(int(first.split(' ')[1]), headers, b'')
+        length = one.header('Content-Length')
+        if length and not head:
+            body = await asyncio.wait_for(
+                self.reader.readexactly(int(length)), WAIT_S
+            )
+            one = dataclasses.replace(one, body=body)
+        return one
+
+    async def ask(
+        self,
+        service: str,
+        method: str = 'GET',
+        path: str = '/',
+        body: bytes = b'',
+        *headers: str,
+    ) -> Reply:
+        """Send a request and return the answer to it."""
+        await self.send(request(service, method, path, body, *headers))
+        return await self.reply(head=method == 'HEAD')
+
+    async def ended(self) -> bool:
+        """Wait until the daemon has closed; False if it sends more."""
+        try:
+            rest = await asyncio.wait_for(self.reader.read(1), WAIT_S)
+        except ConnectionError:
+            return True
+        return rest == b''
+
+
+def request(
+    service: str,
+    method: str = 'GET',
+    path: str = '/',
+    body: bytes = b'',
+    *headers: str,
+) -> bytes:
+    lines = [f'{method} {path} HTTP/1.1', f'Host: {service}', *headers]
+    if body or method in ('POST', 'PUT'):
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+@contextlib.asynccontextmanager
+async def caller(port: int) -> AsyncIterator[Caller]:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    try:
+        yield Caller(reader, writer)
+    finally:
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+
+
+async def until(holds: Callable[[], bool], what: str) -> None:
+    """Wait until `holds`, bounded."""
+    end = asyncio.get_running_loop().time() + WAIT_S
+    while not holds():
+        assert asyncio.get_running_loop().time() < end, what
+        await asyncio.sleep(0.005)
