--- a/src/peridotpost/calls/connections.py
+++ b/src/peridotpost/calls/connections.py
@@ -70,7 +70,7 @@
 
 
 class StaleConnection(AnswerLost):
-    """The connection was closed before any byte of the answer."""
+    """The connection was closed before the head of an answer was whole."""
 
 
 class AnswerTooLarge(AnswerLost):
@@ -204,20 +204,29 @@
         :raises ConnectFailed: nothing was sent.
         :raises AnswerLost: the target may have run the request.
         """
+        lost: StaleConnection | None = None
         kept = self._take_idle(port, now)
         if kept is not None:
             try:
                 return await self._fetch_on(
                     kept, port, call, answer_bytes, now
                 )
-            except StaleConnection:
+            except StaleConnection as error:
                 # The target closed it while the request was on its way;
-                # no byte of an answer came, yet the request may have been
-                # read, so that only an idempotent one goes out again.
+                # no answer began, yet the request may have been read, so
+                # that only an idempotent one goes out again.
                 self.counts.add('connection.stale')
                 if not call.idempotent:
                     raise
-        fresh = await self._connect(port)
+                lost = error
+        try:
+            fresh = await self._connect(port)
+        except ConnectFailed:
+            # A target that ended on the kept connection refuses the new
+            # one; "nothing was sent" would be false for this request.
+            if lost is not None:
+                raise lost from None
+            raise
         return await self._fetch_on(fresh, port, call, answer_bytes, now)
 
     async def _fetch_on(
@@ -251,7 +260,10 @@
         try:
             stream = await self._connect(port)
         except ConnectFailed as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+            cause = error.__cause__
+            if isinstance(cause, iostream.StreamClosedError):
+                cause = cause.real_error
+            return isinstance(cause, ConnectionRefusedError)
         stream.close()
         return False
 
--- a/testing/test_caller_contract.py
+++ b/testing/test_caller_contract.py
@@ -363,6 +363,8 @@
             await callpath.until(lambda: target.running == 1, 'it runs')
         await callpath.until(lambda: target.running == 0, 'it ended')
         await callpath.until(lambda: host.guard.in_flight == 0, 'it is free')
+        # It ended because its caller had gone, not by its deadline.
+        assert host.counts.totals['guard.deadline'] == 0
         assert target.counts['cancelled'] == cancelled
         assert target.counts['ran'] == ran
         for gate in host.guard.gates.values():
