Count a run as in flight after its caller has left

Cause: the guard counted callers, not runs. A non-idempotent call goes on when its caller leaves, but a graceful stop no longer waited for it and cut it.

--- a/src/peridotpost/calls/guard.py
+++ b/src/peridotpost/calls/guard.py
@@ -100,6 +100,15 @@
         return outcome
 
     async def _run_once(self, call: calls.Call, name: str) -> calls.Outcome:
+        # Counted beside `run`: a non-idempotent call goes on when its
+        # caller leaves, and a graceful stop must wait for it too.
+        self.in_flight += 1
+        try:
+            return await self._admit(call, name)
+        finally:
+            self.in_flight -= 1
+
+    async def _admit(self, call: calls.Call, name: str) -> calls.Outcome:
         began = self.clock.now()
         refusal = self._refusal(call, name)
         if refusal is not None:
