Peer contract on real sockets: a faulty guard, a faulty caller's daemon

Tables of frames that are too long, unreadable, of the wrong kind or shape, truncated or wrongly numbered, for calls in flight of both sorts; crossed and late answers; a leaving guard. A frame of the wrong kind was ignored on either side, and a call whose answer it should have been waited for its deadline; the stream is closed now.

--- a/src/peridotpost/calls/peers.py
+++ b/src/peridotpost/calls/peers.py
@@ -263,6 +263,10 @@
             self.guard.heard_of_crash(
                 frame.names, frame.target, frame.incident
             )
+        else:
+            raise errors.CodecError(
+                'a frame that only a guard sends', step='frame.act'
+            )
 
     async def _run(
         self, frame: frames.CallFrame, stream: iostream.IOStream
