--- a/src/peridotpost/calls/router.py
+++ b/src/peridotpost/calls/router.py
@@ -46,7 +46,6 @@
         self.book = choice.LoadBook()
         self.ejector = ejection.Ejector(zone, randomness)
         self.budgets: dict[str, retry.RetryBudget] = {}
-        self.telling: set[asyncio.Task[None]] = set()
         streams.reported.subscribe(self._load_reported)
         clock.subscribe('router.forget', FORGET_PERIOD_S, self._forget)
 
@@ -55,6 +54,9 @@
         refused_s = self.guard.poison.refused_for_s(call, self.clock.now())
         if refused_s > 0:
             return self._poisoned(refused_s)
+        return retry.marked(await self._try_targets(call))
+
+    async def _try_targets(self, call: calls.Call) -> calls.Outcome:
         budget = self.budgets.setdefault(call.service, retry.RetryBudget())
         budget.earn()
         began = self.clock.now()
@@ -118,10 +120,10 @@
             outcome = await self._send(call, endpoint)
         finally:
             self.book.settled(key)
-        self._learn(call, endpoint, outcome)
+        await self._learn(call, endpoint, outcome)
         return outcome
 
-    def _learn(
+    async def _learn(
         self,
         call: calls.Call,
         endpoint: routing.Endpoint,
@@ -141,31 +143,30 @@
             self.clock.now(),
         )
         if isinstance(outcome, calls.OutcomeUnknown) and outcome.incident:
-            self._tell_of_crash(call, key, outcome.incident)
+            await self._tell_of_crash(call, key, outcome.incident)
         elif isinstance(outcome, calls.Answer):
             self.guard.poison.answered(call)
 
-    def _tell_of_crash(
+    async def _tell_of_crash(
         self, call: calls.Call, target: str, incident: str
     ) -> None:
         """Have every guard of the service know the request.
 
         The next attempt may come by way of any daemon, and guards are
-        where all of them meet.
+        where all of them meet.  The caller waits for it, half a second at
+        most, since it may send again as soon as it has its answer.
         """
         names = poison.fingerprints(call)
         self.guard.heard_of_crash(names, target, incident)
         frame = frames.CrashFrame(0, names, target, incident)
-        told = {self.replica.host}
-        for one in self._endpoints(call):
-            if one.host in told:
-                continue
-            told.add(one.host)
-            telling = asyncio.ensure_future(
+        told = {one.host: one for one in self._endpoints(call)}
+        told.pop(self.replica.host, None)
+        await asyncio.gather(
+            *(
                 self.streams.tell(one.address, one.call_port, one.host, frame)
+                for one in told.values()
             )
-            self.telling.add(telling)
-            telling.add_done_callback(self.telling.discard)
+        )
 
     def _load_reported(self, report: peers.LoadReport) -> None:
         key = f'{report.peer}/{report.target}'
--- a/src/peridotpost/decisions/retry.py
+++ b/src/peridotpost/decisions/retry.py
@@ -8,10 +8,11 @@
 unknown outcome only an idempotent call may.  A target that sheds an
 idempotent call (503 with Retry-After) says that another may take it.
 
-Retries at one level only: an answer that comes from a daemon further down,
-passed on by a target, carries ``RETRIED_HEADER``; it was tried as often
-as the rules allow there, so that trying again up here would multiply the
-attempts, three to the tenth at ten levels.
+Retries at one level only: a refusal that a daemon hands to its caller, its
+own or a target's, carries ``RETRIED_HEADER``; it was tried as often as the
+rules allow there.  Where that caller is a target that passes the answer on
+with its headers, trying again further up would multiply the attempts,
+three to the tenth at ten levels.
 
 Retries spend a budget that calls earn, each service its own: one retry
 for ten calls, so that at worst a tenth is added to the load of a service
@@ -91,6 +92,14 @@
     return latest if isinstance(before, calls.NotRun) else before
 
 
+def marked(outcome: calls.Outcome) -> calls.Outcome:
+    """Return `outcome` with the mark that no level above is to retry it."""
+    if not isinstance(outcome, calls.Answer) or not was_shed(outcome):
+        return outcome
+    mark = calls.Header(RETRIED_HEADER, 'yes')
+    return dataclasses.replace(outcome, headers=(*outcome.headers, mark))
+
+
 def was_shed(answer: calls.Answer) -> bool:
     """Whether the target itself refused, nobody further down."""
     if answer.status != SHED_STATUS:
--- /dev/null
+++ b/testing/test_poison.py
@@ -0,0 +1,144 @@
+"""A request that crashes each target that runs it."""
+
+from collections.abc import Callable
+import dataclasses
+import json
+
+import pytest
+
+from peridotpost.decisions import poison
+from peridotpost.model import calls
+from testing import processes
+
+CALL = calls.Call(
+    'r',
+    'read',
+    'GET',
+    '/x',
+    (calls.Header('A', '1'), calls.Header('Date', 'today')),
+    b'body',
+    1000,
+    True,
+)
+NAMES = poison.fingerprints(CALL)
+
+
+def changed(**changes: object) -> calls.Call:
+    return dataclasses.replace(CALL, **changes)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ('other', 'same'),
+    [
+        pytest.param(changed(request_id='s', budget_ms=1), True, id='again'),
+        pytest.param(
+            changed(headers=(calls.Header('a', '1'),)), True, id='other-date'
+        ),
+        pytest.param(
+            changed(headers=(calls.Header('A', '2'),)), False, id='header'
+        ),
+        pytest.param(changed(body=b'other'), False, id='body'),
+        pytest.param(changed(path='/y'), False, id='path'),
+        pytest.param(changed(method='HEAD'), False, id='method'),
+        pytest.param(changed(service='write'), False, id='service'),
+    ],
+)
+def test_what_counts_as_the_same_request(
+    other: calls.Call, same: bool
+) -> None:
+    assert (poison.fingerprints(other) == NAMES) is same
+
+
+def test_same_key_with_another_body_is_the_same_request() -> None:
+    first = poison.fingerprints(changed(key='k'))
+    assert set(first) & set(poison.fingerprints(changed(key='k', body=b'')))
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'at', 'refused_s'),
+    [
+        pytest.param([], 0, 0, id='none'),
+        pytest.param([('a', '1')], 1, 0, id='one'),
+        pytest.param([('a', '1'), ('b', '1')], 1, 60, id='two-targets'),
+        pytest.param([('a', '1'), ('a', '2')], 1, 60, id='one-target-twice'),
+        pytest.param([('a', '1'), ('a', '1')], 1, 0, id='heard-of-twice'),
+        pytest.param(
+            [('a', '1'), ('b', '1'), ('c', '1')], 1, 120, id='and-again'
+        ),
+        pytest.param([('a', '1'), ('b', '1')], 62, 0, id='time-is-up'),
+    ],
+)
+def test_when_a_request_is_refused(
+    crashes: list[tuple[str, str]], at: float, refused_s: float
+) -> None:
+    one = poison.PoisonList()
+    for target, incident in crashes:
+        one.crashed(NAMES, target, incident, 1.0)
+    assert one.refused_for_s(CALL, at) == pytest.approx(refused_s)
+    assert one.refused_for_s(changed(path='/y'), at) == 0
+
+
+def test_request_that_is_answered_is_cleared() -> None:
+    """A read that is asked for all the time runs wherever a target dies.
+
+    Two targets that were killed must not have everybody's read refused.
+    """
+    one = poison.PoisonList()
+    one.crashed(NAMES, 'a', '1', 0.0)
+    one.answered(CALL)
+    one.crashed(NAMES, 'b', '1', 1.0)
+    assert one.refused_for_s(CALL, 1.0) == 0
+
+
+def test_memory_is_bounded_and_fades() -> None:
+    one = poison.PoisonList()
+    for number in range(2 * poison.MAX_SUSPECTS):
+        one.crashed((str(number),), 'a', '1', float(number))
+    assert len(one.suspects) == poison.MAX_SUSPECTS
+    one.forget(1e9)
+    assert not one.suspects
+
+
+TEXT = """
+mesh: poison
+availability_zones: [a, b, c, d]
+services:
+  read: {idempotent: true, deadline_ms: 3000}
+"""
+
+
+@pytest.mark.processes
+def test_crash_request_sent_again_and_again_leaves_targets_standing(
+    running_mesh: Callable[..., processes.RunningMesh],
+) -> None:
+    """One request crashes each target that runs it.
+
+    Its caller does not give up and sends it by way of every daemon in
+    turn.  Without a memory of it all four targets are down after four
+    sendings, and nobody's reads are answered.
+    """
+    one = running_mesh(TEXT)
+    one.wait_ready()
+    one.wait_in_force(one.accept(TEXT))
+    one.wait_targets(4)
+    words: list[str] = []
+    for number in range(12):
+        host = one.plan.hosts[number % 4]
+        answer = processes.call(
+            host, 'read', path='/', headers={'Standin-Crash': 'yes'}
+        )
+        words.append(answer.outcome)
+        if answer.outcome == 'not-run':
+            problem = json.loads(answer.body)
+            assert problem['type'].endswith('poison')
+            assert int(answer.headers['Retry-After']) >= 30
+    assert words[0] == 'unknown'
+    assert set(words[4:]) == {'not-run'}
+    standing = [
+        host
+        for host in one.plan.hosts
+        if one.started[f'target-{host.host}'].poll() is None
+    ]
+    assert len(standing) >= 2
+    for host in one.plan.hosts:
+        assert processes.call(host, 'read').status == 200
