--- a/src/peridotpost/admin/models.py
+++ b/src/peridotpost/admin/models.py
@@ -58,6 +58,35 @@
     members: list[MemberStatus]
 
 
+class RelayAddress(pydantic.BaseModel):
+    """A relay and where its admin page is."""
+
+    host: str
+    admin: str
+
+
+class ZoneView(pydantic.BaseModel):
+    """An availability zone as the asked daemon knows it."""
+
+    availability_zone: str
+    live: int
+    relays: list[RelayAddress]
+
+
+class RolloutPage(pydantic.BaseModel):
+    """How far versions have come at the asked daemon and below it.
+
+    `daemons` counts the asked daemon and all that report to it.
+    """
+
+    host: str
+    availability_zone: str
+    revision: int
+    lowest_revision: int
+    daemons: int
+    zones: list[ZoneView]
+
+
 class TimelineEvent(pydantic.BaseModel):
     """An event of the daemon's ring."""
 
--- a/src/peridotpost/admin/pages.py
+++ b/src/peridotpost/admin/pages.py
@@ -10,6 +10,7 @@
 from tornado import web
 
 from peridotpost.admin import models
+from peridotpost.admin import rollout
 from peridotpost.calls import peers
 from peridotpost.distribution import replica as replicas
 from peridotpost.distribution import server as control
@@ -65,6 +66,13 @@
         )
 
 
+class RolloutPage(Page):
+    """``GET /v1/rollout``."""
+
+    def get(self) -> None:
+        self.reply(rollout.page_of(self.kernel))
+
+
 class TimelinePage(Page):
     """``GET /v1/timeline?request_id=&revision=``."""
 
@@ -187,6 +195,7 @@
     handlers = [
         (r'/v1/status', StatusPage, arguments),
         (r'/v1/counters', CountersPage, arguments),
+        (r'/v1/rollout', RolloutPage, arguments),
         (r'/v1/timeline', TimelinePage, arguments),
         (r'/v1/targets/([a-z][a-z0-9-]{0,62})', TargetPage, arguments),
     ]
--- a/src/peridotpost/cli/peridotctl.py
+++ b/src/peridotpost/cli/peridotctl.py
@@ -5,6 +5,7 @@
 from peridotpost.cli.subcommands import acceptance
 from peridotpost.cli.subcommands import fleet
 from peridotpost.cli.subcommands import output
+from peridotpost.cli.subcommands import rollout
 from peridotpost.cli.subcommands import texts
 
 
@@ -25,6 +26,7 @@
     acceptance.rollback,
     texts.show,
     texts.history,
+    rollout.rollout,
     fleet.status,
     fleet.explain,
     fleet.timeline,
--- /dev/null
+++ b/testing/test_rollout.py
@@ -0,0 +1,49 @@
+"""Following a version by the relays' words instead of every daemon's."""
+
+from collections.abc import Callable
+import json
+
+import pytest
+
+from peridotpost.decisions import rollout
+from testing import processes
+
+
+@pytest.mark.parametrize(
+    ('words', 'arrived'),
+    [
+        pytest.param([(7, 3), (7, 1)], True, id='first-speaks-for-all'),
+        pytest.param([(6, 3), (8, 1)], False, id='one-behind'),
+        pytest.param([(7, 2), (7, 1)], False, id='one-is-moving'),
+        pytest.param([(7, 2)], False, id='first-relay-is-silent'),
+        pytest.param([], False, id='nobody'),
+    ],
+)
+def test_zone_has_a_version_only_when_all_were_told(
+    words: list[tuple[int, int]], arrived: bool
+) -> None:
+    spoken = [rollout.RelayWord('a', rev, count) for rev, count in words]
+    other = rollout.RelayWord('b', 1, 9)
+    assert rollout.of_zone('a', 3, [*spoken, other]).has(7) is arrived
+
+
+@pytest.mark.processes
+def test_rollout_is_followed_by_asking_one_daemon(
+    running_mesh: Callable[..., processes.RunningMesh], mesh_text: str
+) -> None:
+    one = running_mesh(mesh_text, hosts_per_zone=3, targets=False)
+    one.wait_ready()
+    revision = one.accept(mesh_text)
+    done = one.control(
+        'rollout',
+        '--daemon',
+        one.plan.hosts[0].admin,
+        '--wait-revision',
+        str(revision),
+        '--within-s',
+        '20',
+        '--json',
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    told = [zone['told'] for zone in json.loads(done.stdout)['zones']]
+    assert told == [3, 3, 3, 3]
