--- /dev/null
+++ b/testing/test_ownership_machine.py
@@ -0,0 +1,213 @@
+"""A search for schedules of events that run a key twice.
+
+Three hosts in two zones, callers that resend, processes that pause, thaw,
+die and return, stale and wrong views, a store with outages and lost
+answers, messages late, lost and doubled, clocks apart within the bound.
+"""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from peridotpost.decisions import idempotency
+from peridotpost.decisions import ownership
+from testing import once_world
+
+HOSTS = ('a0', 'a1', 'b0')
+SKEWS = st.integers(-once_world.BOUND.error_ms, once_world.BOUND.error_ms)
+STEPS = st.sampled_from([0, 1, 2, 3, 3, 3])
+SEARCH = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=400,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+    report_multiple_bugs=False,
+    # No example is made smaller: that took minutes where one is found.
+    phases=[hypothesis.Phase.generate],
+)
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Runs any rule by :class:`once_world.World`; it checks itself."""
+
+    world_type: type[once_world.World] = once_world.World
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = self.world_type(HOSTS)
+        self.keys: list[idempotency.Key] = []
+        self.prepared: list[tuple[str, object, object]] = []
+        for host in HOSTS:
+            self.world.see(host, HOSTS)
+        self.world.swap(HOSTS[0], None, self.world.prepare(HOSTS[0]))
+        for host in HOSTS:
+            self.world.read(host)
+
+    @stateful.rule(ms=st.sampled_from([1, 200, 900, 2500, 6000]))
+    def time_passes(self, ms: int) -> None:
+        self.world.now_ms += ms
+
+    @stateful.rule(
+        host=st.sampled_from(HOSTS),
+        skew=SKEWS,
+        late_ms=st.sampled_from([0, 0, 0, -4000, 900, 3000]),
+        suffix=st.sampled_from(
+            [('', ''), ('', ''), ('a', ''), ('a', 'a0'), ('b', 'b0')]
+        ),
+        number=st.integers(0, 7),
+        steps=STEPS,
+    )
+    def new_call(
+        self,
+        host: str,
+        skew: int,
+        late_ms: int,
+        suffix: tuple[str, str],
+        number: int,
+        steps: int,
+    ) -> None:
+        made_ms = self.world.now_ms + skew + late_ms
+        key = idempotency.mint(made_ms, random.Random(number), *suffix)
+        self.keys.append(key)
+        self.world.send(host, key)
+        self.deliver_latest(steps)
+
+    def deliver_latest(self, steps: int) -> None:
+        """Carry what was just sent on: to the owner, the guard, and back."""
+        for _ in range(steps):
+            if self.world.network:
+                self.world.deliver(-1)
+
+    @stateful.rule(host=st.sampled_from(HOSTS), steps=STEPS)
+    def call_without_key(self, host: str, steps: int) -> None:
+        key = self.world.mint(host)
+        if key is not None:
+            self.keys.append(key)
+            self.deliver_latest(steps)
+
+    @stateful.precondition(lambda self: self.keys)
+    @stateful.rule(
+        host=st.sampled_from(HOSTS), at=st.integers(0, 99), steps=STEPS
+    )
+    def resend(self, host: str, at: int, steps: int) -> None:
+        self.world.send(host, self.keys[-1 - at % len(self.keys)])
+        self.deliver_latest(steps)
+
+    @stateful.precondition(lambda self: self.world.network)
+    @stateful.rule(
+        at=st.integers(0, 99), keep=st.booleans(), full=st.booleans()
+    )
+    def deliver(self, at: int, keep: bool, full: bool) -> None:
+        at %= len(self.world.network)
+        self.world.deliver(at, keep=keep, full=full)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def deadline_passes(self, host: str) -> None:
+        self.world.time_out(host)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def pause_or_thaw(self, host: str) -> None:
+        daemon = self.world.daemons[host]
+        daemon.paused = not daemon.paused
+
+    @stateful.rule(
+        host=st.sampled_from(HOSTS), skew=SKEWS, graceful=st.booleans()
+    )
+    def kill_or_restart(self, host: str, skew: int, graceful: bool) -> None:
+        daemon = self.world.daemons[host]
+        if not daemon.alive:
+            self.world.start(host, skew).view = HOSTS
+        elif graceful and daemon.works:
+            self.world.stop(host)
+        else:
+            self.world.kill(host)
+
+    @stateful.rule(
+        host=st.sampled_from(HOSTS),
+        others=st.sets(st.sampled_from(HOSTS), min_size=1),
+    )
+    def view_changes(self, host: str, others: set[str]) -> None:
+        """Also a zone that is cut off: its members see only themselves."""
+        self.world.see(host, sorted(others))
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def read_schedule(self, host: str) -> None:
+        self.world.read(host)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def prepare_schedule(self, host: str) -> None:
+        if self.world.daemons[host].works:
+            copy = self.world.daemons[host].schedule
+            self.prepared.append((host, copy, self.world.prepare(host)))
+
+    @stateful.precondition(lambda self: self.prepared)
+    @stateful.rule(lost=st.booleans())
+    def swap_schedule(self, lost: bool) -> None:
+        host, expected, new = self.prepared.pop()
+        self.world.swap(host, expected, new, answer_lost=lost)  # type: ignore[arg-type]
+
+    @stateful.rule()
+    def store_fails_or_returns(self) -> None:
+        self.world.store_up = not self.world.store_up
+
+
+class ThinMachine(Machine):
+    world_type = once_world.ThinWorld
+
+
+def test_no_key_runs_twice_under_the_schedule() -> None:
+    stateful.run_state_machine_as_test(Machine, settings=SEARCH)
+
+
+def test_search_finds_the_hole_of_the_thin_rule() -> None:
+    """The search has to be able to fail.
+
+    The rule that stood before sent a key to the first of the targets that
+    the ingress knew; two ingresses with different views ran it twice.
+    """
+    with pytest.raises(once_world.DoubledRun):
+        stateful.run_state_machine_as_test(ThinMachine, settings=SEARCH)
+
+
+def change_at_once(
+    old: ownership.Schedule,
+    live: list[ownership.Candidate],
+    now_ms: int,
+    lead_ms: int,
+) -> ownership.Schedule:
+    return dataclasses.replace(ownership.founded(live, 0), horizon_ms=1 << 49)
+
+
+def run_again(*judged: object) -> idempotency.Dispatch:
+    return idempotency.Dispatch.RUN
+
+
+@pytest.mark.parametrize(
+    ('holder', 'rule', 'broken'),
+    [
+        pytest.param(
+            ownership.ClockBound, 'never_taken_ms', 0, id='no-threshold'
+        ),
+        pytest.param(
+            ownership,
+            'extended',
+            change_at_once,
+            id='owners-change-below-the-horizon',
+        ),
+        pytest.param(
+            idempotency, 'judge_dispatch', run_again, id='guard-forgets'
+        ),
+    ],
+)
+def test_search_finds_what_each_rule_is_for(
+    monkeypatch: pytest.MonkeyPatch, holder: object, rule: str, broken: object
+) -> None:
+    monkeypatch.setattr(holder, rule, broken)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Machine, settings=SEARCH)
