--- a/demo/drive.py
+++ b/demo/drive.py
@@ -6,16 +6,17 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
 import time
-import uuid
 
 from tornado import httpclient
 
 from peridotpost.admin import models
 from peridotpost.cli import operator
+from peridotpost.decisions import idempotency
 from peridotpost.platform import versions
 from peridotpost.standins import mesh
 
@@ -129,12 +130,14 @@
     services = [
         name for name, one in spec.services.items() if not one.internal
     ]
+    randomness = random.Random()
     work = []
     for number in range(CALLS):
         service = services[number % len(services)]
         method = 'GET' if spec.services[service].idempotent else 'POST'
         host = plan.hosts[number % len(plan.hosts)]
-        work.append(call(client, host, service, method, uuid.uuid4().hex))
+        key = idempotency.mint(time.time_ns() // 1_000_000, randomness).text
+        work.append(call(client, host, service, method, key))
     try:
         return await asyncio.gather(*work)
     finally:
--- a/src/peridotpost/border/settings.py
+++ b/src/peridotpost/border/settings.py
@@ -55,6 +55,19 @@
     drain_s: Seconds = 30.0
 
 
+class OnceSettings(_Strict):
+    """How non-idempotent calls are kept from running twice.
+
+    :param lead_s: how far ahead the owners of keys are fixed: the longest
+        outage of the store that keys made by callers survive, and the
+        longest time for which a lost host's share of them is refused.
+    :param clock_bound_s: how far a host's or caller's clock may be wrong.
+    """
+
+    lead_s: Annotated[float, pydantic.Field(ge=10, le=86_400)] = 3600.0
+    clock_bound_s: Annotated[float, pydantic.Field(ge=0.01, le=60)] = 1.0
+
+
 class DaemonSettings(_Strict):
     """Everything that ``peridotd`` is told."""
 
@@ -68,6 +81,7 @@
     listen: ListenSettings = ListenSettings()
     statsd: StatsdSettings | None = None
     timing: TimingSettings = TimingSettings()
+    once: OnceSettings = OnceSettings()
     log_level: Literal['state', 'off'] = 'state'
 
 
--- a/src/peridotpost/calls/frames.py
+++ b/src/peridotpost/calls/frames.py
@@ -9,6 +9,8 @@
 import msgspec
 from tornado import iostream
 
+from peridotpost.decisions import idempotency
+from peridotpost.decisions import ownership
 from peridotpost.model import calls
 from peridotpost.model import errors
 
@@ -47,12 +49,57 @@
     unknown: calls.OutcomeUnknown
 
 
-Frame = CallFrame | CancelFrame | AnswerFrame | NotRunFrame | UnknownFrame
+class OwnedCallFrame(
+    msgspec.Struct, tag='owned', array_like=True, frozen=True
+):
+    """Run this call as the owner of its key.
+
+    :param span: by which the sender's schedule names the owner; None
+        where the key itself does.
+    """
+
+    number: int
+    call: calls.Call
+    span: ownership.Span | None
+
+
+class LookUpFrame(msgspec.Struct, tag='look-up', array_like=True, frozen=True):
+    """Say what the ledger that `host` handed over holds of `key`."""
+
+    number: int
+    key: str
+    host: str
+    span: ownership.Span | None
+
+
+class HandOverFrame(
+    msgspec.Struct, tag='hand-over', array_like=True, frozen=True
+):
+    """Keep this piece of a ledger; an empty answer confirms it."""
+
+    number: int
+    ledger: idempotency.HandedLedger
+
+
+OwnerFrame = OwnedCallFrame | LookUpFrame | HandOverFrame
+Frame = (
+    CallFrame
+    | CancelFrame
+    | AnswerFrame
+    | NotRunFrame
+    | UnknownFrame
+    | OwnerFrame
+)
 
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Frame)
 
 
+def numbered(frame: OwnerFrame, number: int) -> OwnerFrame:
+    """Return the frame under the number that its stream gave it."""
+    return msgspec.structs.replace(frame, number=number)
+
+
 def encode(frame: Frame) -> bytes:
     body = encoder.encode(frame)
     return LENGTH.pack(len(body)) + body
--- a/src/peridotpost/calls/guard.py
+++ b/src/peridotpost/calls/guard.py
@@ -1,8 +1,8 @@
 """The guard of this host's targets: the last to decide before a run.
 
 A refusal by the guard is the proof that a request was not run, since it
-alone writes to the target.  For non-idempotent calls it keeps a ledger of
-the keys it ran, so that a resend gets the recorded answer.
+alone writes to the target.  It runs each dispatch of a key at most once;
+the key's owner (``calls.owner``) keeps its answer.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 import dataclasses
 
 from peridotpost.calls import connections
+from peridotpost.calls import ledger
 from peridotpost.decisions import admission
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
@@ -22,8 +23,6 @@
 from peridotpost.model import config
 from peridotpost.model import members
 
-LEDGER_ENTRIES = 20_000
-"""At 102 calls/s, a third of them non-idempotent, ten minutes of keys."""
 TIMEOUT_HEADER = 'Peridot-Timeout-Ms'
 DEPTH_HEADER = 'Peridot-Depth'
 REQUEST_ID_HEADER = 'Peridot-Request-Id'
@@ -56,9 +55,7 @@
         self.events = events
         self.counts = counts
         self.gates: dict[tuple[str, str], TargetGate] = {}
-        self.ledger: collections.OrderedDict[
-            str, asyncio.Future[calls.Outcome]
-        ] = collections.OrderedDict()
+        self.ledger = ledger.DispatchLedger()
         self.in_flight = 0
         self.leaving = False
 
@@ -73,21 +70,10 @@
             self.in_flight -= 1
 
     async def _run_keyed(self, call: calls.Call, target: str) -> calls.Outcome:
-        """Run a non-idempotent call, or join the run of its key."""
-        known = self.ledger.get(call.key)
-        if known is not None:
-            self.counts.add('guard.joined')
-            return await asyncio.shield(known)
-        # The run goes on when its caller leaves: a resend of the key has
-        # to find its answer, which a cancelled run could not give.
-        running = asyncio.ensure_future(self._run_once(call, target))
-        self.ledger[call.key] = running
-        while len(self.ledger) > LEDGER_ENTRIES:
-            self.ledger.popitem(last=False)
-        outcome = await asyncio.shield(running)
-        if isinstance(outcome, calls.NotRun):
-            self.ledger.pop(call.key, None)
-        return outcome
+        """Run a dispatch of a non-idempotent call, or join its run."""
+        return await self.ledger.run(
+            call, lambda: self._run_once(call, target)
+        )
 
     async def _run_once(self, call: calls.Call, name: str) -> calls.Outcome:
         began = self.clock.now()
--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -8,8 +8,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import random
-import uuid
 
 from tornado import httpserver
 from tornado import httputil
@@ -20,6 +20,7 @@
 from peridotpost.calls import peers
 from peridotpost.calls import problems
 from peridotpost.calls import router as routers
+from peridotpost.decisions import idempotency
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
 from peridotpost.kernel import timeline
@@ -31,7 +32,6 @@
 MAX_BODY_BYTES = 16_777_216
 KEY_HEADER = 'Idempotency-Key'
 FROM_HEADER = 'Peridot-From'
-MAX_KEY_LENGTH = 128
 OWN_HEADERS = connections.HOP_HEADERS | {
     'idempotency-key',
     'peridot-timeout-ms',
@@ -114,7 +114,7 @@
         self.events.record(
             'call.done', type(outcome).__name__, request_id=request_id
         )
-        return problems.to_answer(outcome, request_id)
+        return _with_key(problems.to_answer(outcome, request_id), call.key)
 
     def to_call(
         self,
@@ -162,7 +162,7 @@
             body=body,
             budget_ms=min(asked_ms, rule.deadline_ms),
             idempotent=rule.idempotent,
-            key='' if rule.idempotent else _key(headers),
+            key='' if rule.idempotent else _key(headers, self.router.keyed),
             depth=depth,
         )
 
@@ -268,16 +268,31 @@
     return int(raw)
 
 
-def _key(headers: httputil.HTTPHeaders) -> str:
-    key = headers.get(KEY_HEADER)
-    if key is None:
-        return str(uuid.uuid4())
-    if not 0 < len(key) <= MAX_KEY_LENGTH or not key.isprintable():
+def _key(
+    headers: httputil.HTTPHeaders, keyed: routers.KeyedCalls | None
+) -> str:
+    given = headers.get(KEY_HEADER)
+    if keyed is None:
         raise RefusedRequest(
-            calls.NotRunReason.BAD_KEY,
-            f'{KEY_HEADER} is to have 1 to {MAX_KEY_LENGTH} characters',
+            calls.NotRunReason.NOT_READY, 'calls with keys are not served'
         )
-    return key
+    if given is None:
+        return keyed.mint()
+    try:
+        return idempotency.parse(given).text
+    except idempotency.BadKey as error:
+        raise RefusedRequest(
+            calls.NotRunReason.BAD_KEY, f'{KEY_HEADER}: {error}'
+        ) from error
+
+
+def _with_key(answer: calls.Answer, key: str) -> calls.Answer:
+    """Return the answer with the key that its call ran under."""
+    if not key:
+        return answer
+    kept = [one for one in answer.headers if one.name.title() != KEY_HEADER]
+    headers = (*kept, calls.Header(KEY_HEADER, key))
+    return dataclasses.replace(answer, headers=headers)
 
 
 def _passed_on(headers: httputil.HTTPHeaders) -> tuple[calls.Header, ...]:
--- a/src/peridotpost/calls/peers.py
+++ b/src/peridotpost/calls/peers.py
@@ -6,9 +6,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import itertools
 import socket
+from typing import Protocol
 
 from tornado import iostream
 from tornado import netutil
@@ -57,18 +59,24 @@
 
     async def run(self, call: calls.Call, target: str) -> calls.Outcome:
         """Have the peer run `call`; cancelling tells the peer."""
+        return await self.exchange(
+            lambda number: frames.CallFrame(number, call, target),
+            call.budget_ms / 1000 + ANSWER_GRACE_S,
+        )
+
+    async def exchange(
+        self, frame_of: Callable[[int], frames.Frame], wait_s: float
+    ) -> calls.Outcome:
+        """Send a frame and return the outcome that comes back for it."""
         assert self.stream is not None
         number = next(self.numbers)
         outcome: asyncio.Future[calls.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
         self.waiting[number] = outcome
-        frame = frames.CallFrame(number, call, target)
         try:
-            self.stream.write(frames.encode(frame))
-            return await asyncio.wait_for(
-                outcome, call.budget_ms / 1000 + ANSWER_GRACE_S
-            )
+            self.stream.write(frames.encode(frame_of(number)))
+            return await asyncio.wait_for(outcome, wait_s)
         except iostream.StreamClosedError:
             return self._lost('its stream closed')
         except TimeoutError:
@@ -147,6 +155,16 @@
             )
         return await stream.run(call, target)
 
+    async def reach(
+        self, address: str, port: int, peer: str
+    ) -> PeerStream | None:
+        """Return a stream to a daemon; None: nothing can be sent to it."""
+        try:
+            return await self._stream(address, port, peer)
+        except (OSError, TimeoutError, iostream.StreamClosedError):
+            self.counts.add('peer.unreachable')
+            return None
+
     async def _stream(self, address: str, port: int, peer: str) -> PeerStream:
         key = (address, port)
         held = self.streams.get(key)
@@ -171,6 +189,12 @@
             await stream.close()
 
 
+class KeyOwner(Protocol):
+    """Serves what other daemons ask about keys."""
+
+    async def serve(self, frame: frames.OwnerFrame) -> calls.Outcome: ...
+
+
 class PeerServer(tcpserver.TCPServer):
     """The called side: runs what other daemons send to the guard."""
 
@@ -179,6 +203,7 @@
         self.guard = guard
         self.counts = counts
         self.open_streams: set[iostream.IOStream] = set()
+        self.owner: KeyOwner | None = None
 
     async def handle_stream(
         self, stream: iostream.IOStream, address: tuple[str, int]
@@ -206,7 +231,7 @@
         stream: iostream.IOStream,
         running: dict[int, asyncio.Task[None]],
     ) -> None:
-        if isinstance(frame, frames.CallFrame):
+        if isinstance(frame, frames.CallFrame | frames.OwnerFrame):
             task = asyncio.ensure_future(self._run(frame, stream))
             running[frame.number] = task
             task.add_done_callback(lambda _: running.pop(frame.number, None))
@@ -216,9 +241,16 @@
                 found.cancel()
 
     async def _run(
-        self, frame: frames.CallFrame, stream: iostream.IOStream
+        self,
+        frame: frames.CallFrame | frames.OwnerFrame,
+        stream: iostream.IOStream,
     ) -> None:
-        outcome = await self.guard.run(frame.call, frame.target)
+        if isinstance(frame, frames.CallFrame):
+            outcome = await self.guard.run(frame.call, frame.target)
+        elif self.owner is not None:
+            outcome = await self.owner.serve(frame)
+        else:
+            outcome = calls.OutcomeUnknown('no key is owned here')
         reply = frames.encode(frames.to_frame(frame.number, outcome))
         with contextlib.suppress(iostream.StreamClosedError):
             await stream.write(reply)
--- a/src/peridotpost/calls/router.py
+++ b/src/peridotpost/calls/router.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from typing import Protocol
 
 from peridotpost.calls import guard as guards
 from peridotpost.calls import peers
@@ -15,6 +16,14 @@
 from peridotpost.model import routing
 
 
+class KeyedCalls(Protocol):
+    """The way of non-idempotent calls, to the owner of their key."""
+
+    def mint(self) -> str: ...
+
+    async def route(self, call: calls.Call) -> calls.Outcome: ...
+
+
 class Router:
     """Chooses targets by ``decisions.choice`` and ``decisions.retry``."""
 
@@ -39,9 +48,24 @@
         self.randomness = randomness
         self.outstanding: dict[str, int] = {}
         self.budget = retry.RetryBudget()
+        self.keyed: KeyedCalls | None = None
 
     async def route(self, call: calls.Call) -> calls.Outcome:
         """Carry `call` to a target and return its one outcome."""
+        if call.idempotent or self.keyed is None:
+            return await self.carry(call)
+        return await self.keyed.route(call)
+
+    async def carry(
+        self, call: calls.Call, first_attempt: int = 0
+    ) -> calls.Outcome:
+        """Try one target after another.
+
+        A call with a key comes here once, from its owner.
+
+        :param first_attempt: dispatches are numbered from the next on.
+        """
+        call = dataclasses.replace(call, attempt=first_attempt)
         began = self.clock.now()
         tried: set[str] = set()
         left = call
@@ -84,6 +108,9 @@
             )
         key = choice.key_of(endpoint)
         tried.add(key)
+        if not call.idempotent:
+            attempt = call.attempt + len(tried)
+            call = dataclasses.replace(call, attempt=attempt)
         self.outstanding[key] = self.outstanding.get(key, 0) + 1
         try:
             return await self._send(call, endpoint)
@@ -101,12 +128,9 @@
         self, call: calls.Call, tried: set[str]
     ) -> routing.Endpoint | None:
         endpoints = self._endpoints(call)
-        if call.idempotent:
-            return choice.choose(
-                endpoints, self.zone, self.outstanding, tried, self.randomness
-            )
-        left = [one for one in endpoints if choice.key_of(one) not in tried]
-        return choice.choose_for_key(left, call.key)
+        return choice.choose(
+            endpoints, self.zone, self.outstanding, tried, self.randomness
+        )
 
     async def _send(
         self, call: calls.Call, endpoint: routing.Endpoint
--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -13,8 +13,11 @@
 from peridotpost.calls import connections
 from peridotpost.calls import guard as guards
 from peridotpost.calls import ingress as ingresses
+from peridotpost.calls import owner as owners
 from peridotpost.calls import peers
 from peridotpost.calls import router as routers
+from peridotpost.calls import views
+from peridotpost.decisions import ownership
 from peridotpost.decisions import pacing
 from peridotpost.distribution import links
 from peridotpost.distribution import reconcile
@@ -217,12 +220,11 @@
             self.randomness,
         )
         kernel.register('router', router)
+        server = peers.PeerServer(guard, counts)
+        owner = self._own_keys(router, streams)
+        router.keyed = server.owner = owner
         call_port = await stack.enter_async_context(
-            peers.serving(
-                peers.PeerServer(guard, counts),
-                given.address,
-                given.listen.call_port,
-            )
+            peers.serving(server, given.address, given.listen.call_port)
         )
         for for_targets, port, setting in (
             (False, given.listen.caller_port, 'caller_port'),
@@ -252,6 +254,39 @@
         )
         myself.set_ports(call_port, admin_port)
 
+    def _own_keys(
+        self, router: routers.Router, streams: peers.PeerStreams
+    ) -> owners.Owner:
+        given = self.settings
+        kernel = self.kernel
+        replica = kernel.find('replica', replicas.Replica)
+        counts = kernel.find('counters', counters.Counters)
+        keeper = views.ScheduleKeeper(
+            kernel.find('store', etcd.EtcdStore),
+            given.mesh,
+            replica,
+            kernel.find('timers', timers.TimerService),
+            counts,
+            round(given.once.lead_s * views.MS_IN_S),
+        )
+        kernel.register('schedule', keeper)
+        owner = owners.Owner(
+            replica,
+            given.availability_zone,
+            router.carry,
+            streams,
+            keeper,
+            kernel.find('myself', own.Myself),
+            kernel.find('timeline', timeline.Timeline),
+            counts,
+            self.randomness,
+            ownership.ClockBound(
+                round(given.once.clock_bound_s * views.MS_IN_S)
+            ),
+        )
+        kernel.register('owner', owner)
+        return owner
+
     async def _join(self, stack: contextlib.AsyncExitStack) -> None:
         given = self.settings
         kernel = self.kernel
@@ -273,6 +308,11 @@
         await stack.enter_async_context(uplinks.holding(ups))
         self._subscribe_timers(targets)
         await self._meet_others()
+        keeper = kernel.find('schedule', views.ScheduleKeeper)
+        await keeper.tick()
+        kernel.find('timers', timers.TimerService).subscribe(
+            'schedule', views.TICK_S, keeper.tick
+        )
         myself.stage = own.Stage.READY
         logs.state_changed(
             'stage', host=given.host, to='ready', incarnation=self.incarnation
@@ -413,15 +453,19 @@
         myself.leave()
         await asyncio.sleep(LEAVE_SPREAD_S)
         guard.leaving = True
+        owner = kernel.find('owner', owners.Owner)
+        owner.closed = True
         clock = kernel.find('timers', timers.TimerService)
         until = clock.now() + self.settings.timing.drain_s
         while self._in_flight() and clock.now() < until:
             await asyncio.sleep(0.01)
+        await owner.hand_over()
         await kernel.find('seeds', seeds.SeedKeeper).withdraw()
 
     def _in_flight(self) -> int:
         kernel = self.kernel
         count = kernel.find('guard', guards.Guard).in_flight
+        count += len(kernel.find('owner', owners.Owner).running)
         for name in ('ingress', 'egress'):
             found = kernel.services.get(name)
             if isinstance(found, ingresses.Ingress):
--- a/src/peridotpost/model/calls.py
+++ b/src/peridotpost/model/calls.py
@@ -20,6 +20,7 @@
         since clocks of different hosts differ.
     :param depth: how many calls of the mesh led to this one.
     :param key: idempotency key, empty for an idempotent call.
+    :param attempt: number of this dispatch of the key; rises.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     idempotent: bool
     key: str = ''
     depth: int = 0
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -17,6 +17,7 @@
 import urllib.error
 import urllib.request
 
+from peridotpost.decisions import idempotency
 from peridotpost.standins import mesh
 
 WAIT_S = 30.0
@@ -178,6 +179,12 @@
         raise WaitedInVain(f'waited in vain until {what}\n{logs}')
 
 
+def new_key(suffix: str = '') -> str:
+    """Make an idempotency key as a caller would."""
+    key = idempotency.mint(time.time_ns() // 1_000_000, random.Random())
+    return key.text + suffix
+
+
 def get_json(address: str) -> Any:
     with urllib.request.urlopen(address, timeout=WAIT_S) as answer:
         return json.loads(answer.read())
