--- a/src/peridotpost/calls/frames.py
+++ b/src/peridotpost/calls/frames.py
@@ -81,7 +81,15 @@
     ledger: idempotency.HandedLedger
 
 
-OwnerFrame = OwnedCallFrame | LookUpFrame | HandOverFrame
+class ScheduleFrame(
+    msgspec.Struct, tag='schedule', array_like=True, frozen=True
+):
+    """Answer with the schedule that you hold, as the store keeps it."""
+
+    number: int
+
+
+OwnerFrame = OwnedCallFrame | LookUpFrame | HandOverFrame | ScheduleFrame
 Frame = (
     CallFrame
     | CancelFrame
--- a/src/peridotpost/calls/owner.py
+++ b/src/peridotpost/calls/owner.py
@@ -146,6 +146,8 @@
         if isinstance(frame, frames.LookUpFrame):
             key = idempotency.parse(frame.key)
             return self.heirs.look_up(key, frame.host, frame.span)
+        if isinstance(frame, frames.ScheduleFrame):
+            return self.keeper.to_answer()
         self.heirs.take(frame.ledger, self.keeper.now_ms())
         return heirs_of_calls.TAKEN
 
--- a/src/peridotpost/calls/views.py
+++ b/src/peridotpost/calls/views.py
@@ -8,21 +8,26 @@
 import asyncio
 import dataclasses
 import json
+import random
 import zlib
 
 import result
 
+from peridotpost.calls import frames
+from peridotpost.calls import peers
 from peridotpost.decisions import ownership
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
 from peridotpost.kernel import logs
 from peridotpost.kernel import timers
+from peridotpost.model import calls
 from peridotpost.model import errors
 from peridotpost.platform import store as stores
 
 TICK_S = 1.0
 MS_IN_S = 1000
 READS_PER_LEAD = 8
+FOUND = 200
 ASK_AGAIN_S = 0.5
 """Between two reads for calls whose stamps the copy does not cover."""
 
@@ -65,6 +70,8 @@
         clock: timers.TimerService,
         counts: counters.Counters,
         lead_ms: int,
+        streams: peers.PeerStreams,
+        randomness: random.Random,
     ) -> None:
         self.store = store
         self.key = schedule_key(mesh)
@@ -72,6 +79,8 @@
         self.clock = clock
         self.counts = counts
         self.lead_ms = lead_ms
+        self.streams = streams
+        self.randomness = randomness
         self.current: ownership.Schedule | None = None
         self.revision = 0
         self.read_at_ms = 0
@@ -85,10 +94,13 @@
         """Read when it is time; carry on when it falls to this daemon."""
         if self.current is None or self.now_ms() >= self.read_at_ms:
             if not await self._read():
+                await self._ask_peer()
                 return
         live = self._live()
-        if ownership.is_writer(self.replica.host, live):
-            await self._carry_on(live)
+        writers = ownership.writers(live)
+        if self.replica.host in writers:
+            rank = writers.index(self.replica.host)
+            await self._carry_on(live, rank)
 
     async def reach(self, stamp_ms: int) -> ownership.Schedule | None:
         """Return a copy that covers `stamp_ms`, None if there is none.
@@ -121,6 +133,39 @@
         self.counts.add('schedule.asked-for-a-call')
         if await self._read():
             await self._carry_on(self._live())
+        else:
+            await self._ask_peer()
+
+    async def _ask_peer(self) -> None:
+        """Ask a member for its copy while the store is out.
+
+        A daemon that returns in an outage would know no owner of keys that
+        callers made, and one cut off from the store would fall behind.
+        """
+        others = [
+            one
+            for one in self.replica.fleet.live()
+            if one.host != self.replica.host
+        ]
+        if not others:
+            return
+        peer = self.randomness.choice(others)
+        stream = await self.streams.reach(
+            peer.address, peer.call_port, peer.host
+        )
+        if stream is None:
+            return
+        outcome = await stream.exchange(frames.ScheduleFrame, ASK_AGAIN_S)
+        if isinstance(outcome, calls.Answer) and outcome.status == FOUND:
+            revision = int(outcome.headers[0].value)
+            self._adopt_read(stores.KeyValue(self.key, outcome.body, revision))
+
+    def to_answer(self) -> calls.Answer:
+        """Return the copy held here, for a member that asks for it."""
+        if self.current is None:
+            return calls.Answer(404, 'None', (), b'')
+        revision = calls.Header('Revision', str(self.revision))
+        return calls.Answer(FOUND, 'OK', (revision,), encode(self.current))
 
     def _live(self) -> dict[str, ownership.Candidate]:
         return {
@@ -171,17 +216,19 @@
         self.revision = revision
         self.counts.add('schedule.adopted')
 
-    async def _carry_on(self, live: dict[str, ownership.Candidate]) -> None:
+    async def _carry_on(
+        self, live: dict[str, ownership.Candidate], rank: int = 0
+    ) -> None:
         now_ms = self.now_ms()
         if self.current is None:
             new = ownership.founded(live.values(), now_ms)
-        elif ownership.is_due(self.current, now_ms, self.lead_ms):
+        elif ownership.is_due(self.current, now_ms, self.lead_ms, rank):
             new = ownership.extended(
                 self.current, live.values(), now_ms, self.lead_ms
             )
         else:
             return
-        self.counts.add('schedule.written')
+        self.counts.add('schedule.offered')
         swapped = await self.store.swap(
             self.key, self.revision, [stores.Put(self.key, encode(new))]
         )
--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -268,6 +268,8 @@
             kernel.find('timers', timers.TimerService),
             counts,
             round(given.once.lead_s * views.MS_IN_S),
+            streams,
+            self.randomness,
         )
         kernel.register('schedule', keeper)
         owner = owners.Owner(
--- a/src/peridotpost/decisions/ownership.py
+++ b/src/peridotpost/decisions/ownership.py
@@ -24,7 +24,6 @@
 
 import bisect
 from collections.abc import Iterable
-from collections.abc import Mapping
 import dataclasses
 import enum
 import functools
@@ -39,7 +38,8 @@
 KEEP_SHARE = 0.5
 """A writer that sees fewer of the owners alive ends no span: it is likely
 that it is the one cut off, or that a herd is about to come back."""
-WRITERS = 2
+DUE_SHARES = (0.75, 0.5)
+"""Shares of the lead at which the first writer and its stand-by write."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -133,10 +133,16 @@
     return min(lead_ms, max(MIN_LEAD_MS, age_ms))
 
 
-def is_due(schedule: Schedule, now_ms: int, lead_ms: int) -> bool:
-    """Whether less than three quarters of the lead are left."""
+def is_due(
+    schedule: Schedule, now_ms: int, lead_ms: int, rank: int = 0
+) -> bool:
+    """Whether too little of the lead is left.
+
+    :param rank: of the writer; each waits for the one before, so that the
+        two do not both write each time.
+    """
     lead = lead_of(schedule, now_ms, lead_ms)
-    return schedule.horizon_ms - now_ms < lead * 3 // 4
+    return schedule.horizon_ms - now_ms < lead * DUE_SHARES[rank]
 
 
 def extended(
@@ -197,12 +203,12 @@
     }
 
 
-def is_writer(host: str, live: Mapping[str, Candidate]) -> bool:
-    """Whether it falls to `host` to carry the schedule on.
+def writers(live: Iterable[str]) -> list[str]:
+    """Return the hosts that carry the schedule on, the first one first.
 
-    Two that both think so do no harm: the store lets one of them win.
+    Two that both write do no harm: the store lets one of them win.
     """
-    return host in tree.ranked('schedule', live)[:WRITERS]
+    return tree.ranked('schedule', live)[: len(DUE_SHARES)]
 
 
 def heirs_of(host: str, live: Iterable[str], count: int = 2) -> list[str]:
--- a/src/peridotpost/standins/platform.py
+++ b/src/peridotpost/standins/platform.py
@@ -24,7 +24,9 @@
 from peridotpost.standins import keyvalue
 
 EXPIRY_PERIOD_S = 0.2
-WRITES = frozenset({'put', 'txn', 'lease/grant', 'lease/keepalive'})
+WRITES = frozenset(
+    {'kv/txn', 'lease/grant', 'lease/keepalive', 'lease/revoke'}
+)
 
 
 class Faults(pydantic.BaseModel):
--- a/testing/test_ownership_machine.py
+++ b/testing/test_ownership_machine.py
@@ -21,11 +21,13 @@
 SKEWS = st.integers(-once_world.BOUND.error_ms, once_world.BOUND.error_ms)
 Copy = ownership.Schedule | None
 STEPS = st.sampled_from([0, 1, 2, 3, 3, 3])
+# Broken rules were found after 4 to 379 examples, over five seeds each; the
+# search for them ends there, so that the bound costs nothing.
 SEARCH = hypothesis.settings(
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=400,
+    max_examples=2000,
     stateful_step_count=60,
     suppress_health_check=list(hypothesis.HealthCheck),
     report_multiple_bugs=False,
@@ -118,16 +120,22 @@
         daemon.paused = not daemon.paused
 
     @stateful.rule(
-        host=st.sampled_from(HOSTS), skew=SKEWS, graceful=st.booleans()
+        host=st.sampled_from(HOSTS),
+        skew=SKEWS,
+        graceful=st.booleans(),
+        back=st.booleans(),
     )
-    def kill_or_restart(self, host: str, skew: int, graceful: bool) -> None:
+    def end_process(
+        self, host: str, skew: int, graceful: bool, back: bool
+    ) -> None:
         daemon = self.world.daemons[host]
-        if not daemon.alive:
-            self.world.start(host, skew).view = HOSTS
-        elif graceful and daemon.works:
+        if graceful and daemon.works:
             self.world.stop(host)
-        else:
+        elif daemon.alive:
             self.world.kill(host)
+        if back:
+            self.world.start(host, skew).view = HOSTS
+            self.world.read(host)
 
     @stateful.rule(
         host=st.sampled_from(HOSTS),
@@ -162,7 +170,8 @@
 
 
 def test_no_key_runs_twice_under_the_schedule() -> None:
-    stateful.run_state_machine_as_test(Machine, settings=SEARCH)
+    bounded = hypothesis.settings(SEARCH, max_examples=400)
+    stateful.run_state_machine_as_test(Machine, settings=bounded)
 
 
 def test_search_finds_the_hole_of_the_thin_rule() -> None:
@@ -192,7 +201,10 @@
     ('holder', 'rule', 'broken'),
     [
         pytest.param(
-            ownership.ClockBound, 'never_taken_ms', 0, id='no-threshold'
+            ownership.Process,
+            'complete_after_ms',
+            lambda process, bound: -1,
+            id='next-process-takes-older-stamps',
         ),
         pytest.param(
             ownership,
