--- a/demo/drive.py
+++ b/demo/drive.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -16,6 +17,7 @@
 
 from peridotpost.admin import models
 from peridotpost.cli import operator
+from peridotpost.decisions import idempotency
 from peridotpost.platform import versions
 from peridotpost.standins import mesh
 
@@ -143,12 +145,14 @@
     client = httpclient.AsyncHTTPClient(force_instance=True, max_clients=20)
     spec = operator.mesh_of(text, 'text')
     services = public_services(text)
+    randomness = random.Random()
     work = []
     for number in range(CALLS):
         service = services[number % len(services)]
         method = 'GET' if spec.services[service].idempotent else 'POST'
         host = plan.hosts[number % len(plan.hosts)]
-        work.append(call(client, host, service, method, uuid.uuid4().hex))
+        key = idempotency.mint(time.time_ns() // 1_000_000, randomness).text
+        work.append(call(client, host, service, method, key))
     try:
         return await asyncio.gather(*work)
     finally:
--- a/src/peridotpost/model/calls.py
+++ b/src/peridotpost/model/calls.py
@@ -21,6 +21,7 @@
     :param depth: how many calls of the mesh led to this one.
     :param key: idempotency key, empty for an idempotent call.
     :param caller: who sends it, for fair shares; empty if unknown.
+    :param attempt: number of this dispatch of the key; rises.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     key: str = ''
     depth: int = 0
     caller: str = ''
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
