A lost cancellation no longer keeps a daemon alive

Cause: its uplink had been cancelled (Task.cancelling() was 1 in a dump of its tasks) and went on: asyncio.wait_for before Python 3.12 returns a result that is ready in the moment of the cancellation, and the cancellation is lost. Ruled out: the store's calls, gRPC's server (idle in the dump). Loops that run until cancelled now ask for it each round, and tasks.end cancels again.

--- a/src/peridotpost/distribution/source.py
+++ b/src/peridotpost/distribution/source.py
@@ -13,6 +13,7 @@
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
 from peridotpost.kernel import logs
+from peridotpost.kernel import tasks
 from peridotpost.model import config
 from peridotpost.model import errors
 from peridotpost.platform import store
@@ -71,7 +72,7 @@
         return True
 
     async def _watch(self) -> None:
-        while True:
+        while not tasks.cancelled():
             began = self.replica.clock.now()
             try:
                 good = await self.read_once() and await self._watch_once()
@@ -137,5 +138,4 @@
         yield source
     finally:
         if source.watching is not None:
-            source.watching.cancel()
-            await asyncio.gather(source.watching, return_exceptions=True)
+            await tasks.end(source.watching)
--- a/src/peridotpost/distribution/uplinks.py
+++ b/src/peridotpost/distribution/uplinks.py
@@ -27,6 +27,7 @@
 from peridotpost.generated import control_pb2_grpc
 from peridotpost.kernel import counters
 from peridotpost.kernel import logs
+from peridotpost.kernel import tasks
 from peridotpost.model import errors
 from peridotpost.model import members
 
@@ -151,7 +152,7 @@
     async def _hold(self, name: str, candidates: tuple[str, ...]) -> None:
         choice = pacing.ParentChoice(self.randomness)
         clock = self.replica.clock
-        while True:
+        while not tasks.cancelled():
             uplink = self.wanted.get(name)
             if uplink is not None:
                 candidates = uplink.candidates
@@ -246,7 +247,5 @@
         uplinks.closing.set()
         if uplinks.replanning is not None:
             uplinks.replanning.cancel()
-        tasks = [uplink.task for uplink in uplinks.wanted.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        held = [uplink.task for uplink in uplinks.wanted.values()]
+        await tasks.end(*held)
--- a/testing/test_tasks.py
+++ b/testing/test_tasks.py
@@ -40,3 +40,26 @@
     await asyncio.sleep(0)
     await tasks.end(task)
     assert task.done()
+
+
+async def test_task_that_lost_its_cancellation_is_ended_all_the_same() -> None:
+    # A peer's answer is there in the very moment in which the daemon
+    # stops; the wait for it returns the answer and the cancellation is
+    # gone.  A loop round such a wait must still end.
+    answered = asyncio.get_running_loop().create_future()
+    rounds = 0
+
+    async def dialling() -> None:
+        nonlocal rounds
+        while not tasks.cancelled():
+            rounds += 1
+            try:
+                await answered
+            except asyncio.CancelledError:
+                continue
+
+    task = asyncio.ensure_future(dialling())
+    await asyncio.sleep(0)
+    await tasks.end(task)
+    assert task.done()
+    assert rounds == 1
