Faults of distribution are brought about, and streams that could end for good do not

Cause 1: a cancellation that arrived while a link's tasks were cleared away was suppressed, so a dialler that was to end went on, and a daemon that stopped waited for it for ever. Ruled out by the tasks' await chains: the test's fake and the store. The code before had the same suppression. Cause 2: closing a channel raises CancelledError in the reader, which ended the dialler for good. First guess, that a peer's status CANCELLED does so too, was wrong: that comes as RpcError.

--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -301,17 +301,17 @@
             await asyncio.sleep(backoff.next_delay())
 
     async def _ask_peers(self, store_read: bool, addresses: list[str]) -> bool:
-        """Ask a few peers at a time until enough of them answered."""
+        """Ask a few peers at a time until enough of them hold a version."""
         reconciler = self.kernel.find('reconciler', reconcile.Reconciler)
         step = version_rules.FIRST_READ_PEERS
-        answered = 0
+        holding = 0
         for start in range(0, max(1, len(addresses)), step):
             group = addresses[start : start + step]
             answers = await asyncio.gather(*map(reconciler.ask, group))
-            answered += sum(answers)
+            holding += sum(bool(revision) for revision in answers)
             asked = start + len(group)
             if version_rules.heard_enough(
-                store_read, answered, asked, len(addresses)
+                store_read, holding, asked, len(addresses)
             ):
                 return True
         return False
--- a/src/peridotpost/decisions/tree.py
+++ b/src/peridotpost/decisions/tree.py
@@ -108,19 +108,28 @@
     """Return the relays of other zones that the relay `host` calls up.
 
     Of two zones the one whose name sorts first calls; either direction
-    carries all.  The first relay calls the first, the second the second:
-    were each to choose for itself, both could choose one relay, and its
-    death or freeze would cut the two zones off from each other.
+    carries all.  The first relay calls the first, the second the second,
+    and one that stands alone calls both: were each to choose for itself,
+    both could choose one relay, and its death or freeze would cut the two
+    zones off from each other.
     """
     mine = relays_of(zone, {*zone_hosts, host})
     turn = mine.index(host) if host in mine else 0
     return [
-        other.relays[turn % len(other.relays)]
+        peer
         for other in others
         if zone < other.zone and other.relays
+        for peer in _called(other.relays, turn, len(mine))
     ]
 
 
+def _called(relays: Sequence[str], turn: int, callers: int) -> tuple[str, ...]:
+    """Return those of `relays` that fall to the caller number `turn`."""
+    if turn >= len(relays):
+        return (relays[turn % len(relays)],)
+    return tuple(relays[turn::callers])
+
+
 def seed_hosts(zone: str, zone_hosts: Iterable[str], seeds: int) -> list[str]:
     """Return the hosts that keep the zone's bootstrap records."""
     return ranked(zone, zone_hosts)[:seeds]
--- a/src/peridotpost/decisions/versions.py
+++ b/src/peridotpost/decisions/versions.py
@@ -178,16 +178,17 @@
 
 
 def heard_enough(
-    store_read: bool, answered: int, asked: int, known: int
+    store_read: bool, holding: int, asked: int, known: int
 ) -> bool:
     """Whether a fresh daemon may serve with the highest that it heard of.
 
     Without this rule a daemon that returns while the store is out would
-    serve the version of the one peer that happened to answer, which may
-    itself have just returned and hold nothing.
+    serve the version of the one peer that happened to answer, or nothing
+    at all, as when a herd returns and its members ask each other.
 
-    :param answered: peers that answered, out of `asked` of `known` ones.
+    :param holding: peers that answered and hold a version themselves, out
+        of `asked` of `known` ones.
     """
-    if store_read or answered >= FIRST_READ_PEERS:
+    if store_read or holding >= FIRST_READ_PEERS:
         return True
-    return answered > 0 and asked >= known
+    return holding > 0 and asked >= known
--- a/src/peridotpost/distribution/reconcile.py
+++ b/src/peridotpost/distribution/reconcile.py
@@ -59,8 +59,12 @@
         if address is not None:
             await self.ask(address)
 
-    async def ask(self, address: str) -> bool:
-        """Fetch from `address` what is lacking; False if it failed."""
+    async def ask(self, address: str) -> int | None:
+        """Fetch from `address` what is lacking.
+
+        Returns the revision that the asked holds, 0 for none; None if it
+        gave no usable answer.
+        """
         try:
             async with self.dial(address) as channel:
                 stub = control_pb2_grpc.ControlStub(channel)
@@ -70,9 +74,9 @@
                     await self._question(stub, marks, address)
         except (grpc.RpcError, errors.PeridotError, asyncio.TimeoutError):
             self.counts.add('reconcile.failed')
-            return False
+            return None
         self.counts.add('reconcile.asked')
-        return True
+        return facts.revision
 
     async def _question(
         self,
--- a/src/peridotpost/distribution/server.py
+++ b/src/peridotpost/distribution/server.py
@@ -69,7 +69,8 @@
     async def _first(self, context: Context) -> control_pb2.Hello:
         """Read the greeting, without which no stream is held open."""
         try:
-            first = await asyncio.wait_for(context.read(), streams.GREETING_S)
+            async with asyncio.timeout(streams.GREETING_S):
+                first = await context.read()
         except TimeoutError:
             first = aio.EOF
         if first is aio.EOF or not first.HasField('hello'):
@@ -107,7 +108,7 @@
 
     def lacking(self, digest: control_pb2.Digest) -> control_pb2.Facts:
         """Return the facts that the sender of `digest` does not hold."""
-        facts = control_pb2.Facts()
+        facts = control_pb2.Facts(revision=self.replica.version.revision)
         fleet = self.replica.fleet
         if digest.HasField('marks'):
             buckets, marks = wire.read_bucket_marks(digest.marks)
--- a/src/peridotpost/distribution/source.py
+++ b/src/peridotpost/distribution/source.py
@@ -48,6 +48,9 @@
     def follow_place(self, place: tree.Place) -> None:
         """Watch exactly while this daemon is a relay."""
         if place.parent_of_others:
+            # It goes on holding the whole when its place moves on: in a
+            # zone that is cut off it may be the only one that does, and
+            # the one that takes its place has to fetch it from here.
             self.replica.set_interest(config.EVERYTHING)
         if place.relay and self.watching is None:
             self.watching = asyncio.ensure_future(self._watch())
--- a/src/peridotpost/distribution/streams.py
+++ b/src/peridotpost/distribution/streams.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
-import contextlib
 from typing import Any
 
 from grpc import aio
@@ -60,8 +59,9 @@
         clock.cancel(beat)
         for task in tasks:
             task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*tasks, return_exceptions=True)
+        # No suppression here: a cancellation that arrives in this wait is
+        # for the caller, which would otherwise go on dialling unseen.
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def _send(link: links.Link, write: Write) -> None:
--- a/src/peridotpost/distribution/uplinks.py
+++ b/src/peridotpost/distribution/uplinks.py
@@ -177,6 +177,14 @@
         """Hold one stream until it ends; return the refusal, if it was."""
         try:
             return await self._exchange(name, peer)
+        except asyncio.CancelledError:
+            # grpc raises this also when the channel is closed under the
+            # call.  Taken for our own end, it would end the daemon's only
+            # stream for good.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            self.counts.add('uplink.cancelled')
         except (grpc.RpcError, errors.PeridotError, TimeoutError) as error:
             self.counts.add('uplink.failed')
             logs.state_changed(
@@ -206,9 +214,8 @@
         )
         async with self.dial(address) as channel:
             call = control_pb2_grpc.ControlStub(channel).Exchange()
-            first = await asyncio.wait_for(
-                self._greet(call, link), streams.GREETING_S
-            )
+            async with asyncio.timeout(streams.GREETING_S):
+                first = await self._greet(call, link)
             if first.HasField('refusal'):
                 self.counts.add('uplink.refused')
                 refusal: control_pb2.Refusal = first.refusal
--- a/testing/test_tree.py
+++ b/testing/test_tree.py
@@ -123,6 +123,30 @@
             assert len(linked_zones(frozenset({relay}))) == every_pair
 
 
+@pytest.mark.parametrize(
+    ('mine', 'others', 'pairs'),
+    [
+        pytest.param(1, 2, {('m-0', 'o-0'), ('m-0', 'o-1')}, id='one-two'),
+        pytest.param(2, 1, {('m-0', 'o-0'), ('m-1', 'o-0')}, id='two-one'),
+        pytest.param(1, 1, {('m-0', 'o-0')}, id='one-one'),
+        pytest.param(1, 0, set(), id='zone-without-hosts'),
+    ],
+)
+def test_small_zones_are_linked_by_every_relay(
+    mine: int, others: int, pairs: set[tuple[str, str]]
+) -> None:
+    hosts = [f'm-{number}' for number in range(mine)]
+    relays = tuple(f'o-{number}' for number in range(others))
+    called = {
+        (host, peer)
+        for host in hosts
+        for peer in tree.links_between_zones(
+            host, 'm', hosts, [tree.ZoneRelays('o', relays)]
+        )
+    }
+    assert called == pairs
+
+
 def test_suspected_parents_come_last_in_the_order_they_had() -> None:
     order = tree.suspects_last(('a', 'b', 'c', 'd'), {'a', 'c'})
     assert order == ('b', 'd', 'a', 'c')
--- a/testing/test_versions_rules.py
+++ b/testing/test_versions_rules.py
@@ -302,17 +302,17 @@
 
 
 @pytest.mark.parametrize(
-    ('store_read', 'answered', 'asked', 'known', 'enough'),
+    ('store_read', 'holding', 'asked', 'known', 'enough'),
     [
         pytest.param(True, 0, 0, 0, True, id='store-answered'),
         pytest.param(False, 0, 0, 0, False, id='nobody-to-ask'),
         pytest.param(False, 1, 3, 9, False, id='one-of-three-others-left'),
-        pytest.param(False, 3, 6, 9, True, id='three-answered'),
-        pytest.param(False, 1, 2, 2, True, id='all-asked-one-answered'),
+        pytest.param(False, 3, 6, 9, True, id='three-hold-a-version'),
+        pytest.param(False, 1, 2, 2, True, id='all-asked-one-holds'),
         pytest.param(False, 0, 2, 2, False, id='all-asked-in-vain'),
     ],
 )
 def test_fresh_daemon_serves_once_it_heard_enough(
-    store_read: bool, answered: int, asked: int, known: int, enough: bool
+    store_read: bool, holding: int, asked: int, known: int, enough: bool
 ) -> None:
-    assert versions.heard_enough(store_read, answered, asked, known) is enough
+    assert versions.heard_enough(store_read, holding, asked, known) is enough
--- /dev/null
+++ b/testing/zones.py
@@ -0,0 +1,244 @@
+"""Daemons of several availability zones on one loop, and who reaches whom.
+
+The fakes stand at two interfaces: the dialler by which daemons open
+channels to each other, and one stand-in of the platform for each zone, all
+with one state, so that a zone can lose it alone.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import functools
+
+from grpc import aio
+
+from peridotpost.border import settings as settings_border
+from peridotpost.border import text as text_border
+from peridotpost.cli import daemon as daemons
+from peridotpost.distribution import dialling
+from peridotpost.distribution import links
+from peridotpost.distribution import reconcile
+from peridotpost.distribution import replica as replicas
+from peridotpost.distribution import uplinks
+from peridotpost.kernel import counters
+from peridotpost.kernel import timers
+from peridotpost.membership import myself as own
+from peridotpost.model import errors
+from peridotpost.platform import etcd
+from peridotpost.platform import versions
+from peridotpost.standins import platform as platform_standin
+
+WAIT_S = 30.0
+POLL_S = 0.02
+RECONCILE_S = 0.5
+TIMING = settings_border.TimingSettings(
+    probe_period_s=0.5,
+    suspicion_s=2.0,
+    reconcile_period_s=600.0,
+    seed_period_s=0.5,
+    watch_timeout_s=5.0,
+    drain_s=1.0,
+)
+
+
+class Zones:
+    """A mesh in one process whose zones a test cuts and heals."""
+
+    def __init__(self, text: str, stack: contextlib.AsyncExitStack) -> None:
+        self.text = text
+        self.mesh = text_border.read_text(text, 'text')
+        self.stack = stack
+        self.platforms: dict[str, platform_standin.Platform] = {}
+        self.endpoints: dict[str, str] = {}
+        self.daemons: dict[str, daemons.Daemon] = {}
+        self.zone_at: dict[str, str] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.stream_cuts: set[frozenset[str]] = set()
+        self.channels: list[tuple[frozenset[str], aio.Channel]] = []
+        self.lowest: dict[str, int] = {}
+
+    async def open_platform(self) -> None:
+        for zone in self.mesh.availability_zones:
+            one = platform_standin.Platform()
+            if self.platforms:
+                one.state = next(iter(self.platforms.values())).state
+                one.lease_ids = next(iter(self.platforms.values())).lease_ids
+            port = await self.stack.enter_async_context(
+                platform_standin.serving(one, '127.0.0.1', 0)
+            )
+            self.platforms[zone] = one
+            self.endpoints[zone] = f'http://127.0.0.1:{port}'
+
+    async def start(self, host: str, zone: str, *peers: str) -> None:
+        """Start a daemon and wait until it serves."""
+        plain = {
+            'host': host,
+            'availability_zone': zone,
+            'mesh': self.mesh.mesh,
+            'peers': list(peers),
+            'store': {'endpoints': [self.endpoints[zone]], 'timeout_s': 0.5},
+            'listen': dict.fromkeys(
+                settings_border.ListenSettings.model_fields, 0
+            ),
+        }
+        settings = settings_border.DaemonSettings.model_validate(plain)
+        settings = settings.model_copy(update={'timing': TIMING})
+        one = daemons.Daemon(settings, seed=len(self.daemons))
+        self.daemons[host] = one
+        base = one._start_control
+
+        async def start_control(stack: contextlib.AsyncExitStack) -> None:
+            await base(stack)
+            ups = one.kernel.find('uplinks', uplinks.Uplinks)
+            asks = one.kernel.find('reconciler', reconcile.Reconciler)
+            ups.dial = self.dial_from(zone, self.stream_cuts)
+            asks.dial = self.dial_from(zone, self.cuts)
+            record = one.kernel.find('myself', own.Myself).record
+            self.zone_at[record.control_address] = zone
+
+        one._start_control = start_control  # type: ignore[method-assign]
+        await self.stack.enter_async_context(one.running())
+        self.lowest[host] = self.revision(host)
+        self.replica(host).changed.subscribe(
+            lambda _: self._check_not_lower(host)
+        )
+
+    def _check_not_lower(self, host: str) -> None:
+        revision = self.revision(host)
+        assert revision >= self.lowest[host]
+        self.lowest[host] = revision
+
+    def dial_from(self, zone: str, cuts: set[frozenset[str]]) -> dialling.Dial:
+        @contextlib.asynccontextmanager
+        async def dial(address: str) -> AsyncIterator[aio.Channel]:
+            pair = frozenset({zone, self.zone_at[address]})
+            if pair in cuts:
+                raise errors.PeridotError(
+                    'cut off by the test', step='test.dial', peer=address
+                )
+            async with dialling.dial(address) as channel:
+                entry = (pair, channel)
+                self.channels.append(entry)
+                try:
+                    yield channel
+                finally:
+                    self.channels.remove(entry)
+
+        return dial
+
+    async def cut(self, *pairs: tuple[str, str]) -> None:
+        """Cut pairs of zones off from each other, standing streams too."""
+        self.cuts |= {frozenset(pair) for pair in pairs}
+        await self.cut_streams(*pairs)
+
+    async def cut_streams(self, *pairs: tuple[str, str]) -> None:
+        """Cut standing streams alone; single questions get through."""
+        self.stream_cuts |= {frozenset(pair) for pair in pairs}
+        for pair, channel in tuple(self.channels):
+            if pair in self.stream_cuts:
+                await channel.close()
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        self.stream_cuts.clear()
+        for platform in self.platforms.values():
+            platform.set_faults(platform_standin.Faults())
+
+    def reconcile_often(self) -> None:
+        """Let every daemon ask a random member each half second."""
+        for one in self.daemons.values():
+            asks = one.kernel.find('reconciler', reconcile.Reconciler)
+            clock = one.kernel.find('timers', timers.TimerService)
+            clock.subscribe('test-reconcile', RECONCILE_S, asks.tick)
+
+    def cut_from_platform(self, zone: str) -> None:
+        faults = platform_standin.Faults(outage=True)
+        self.platforms[zone].set_faults(faults)
+
+    def others(self, zone: str) -> list[str]:
+        return [one for one in self.mesh.availability_zones if one != zone]
+
+    async def accept(self, note: str, via: str) -> int:
+        """Accept the text once more and return its revision."""
+        with etcd.etcd_store(
+            [self.endpoints[via]], 1.0, 5.0, counters.Counters()
+        ) as store:
+            head = (await versions.read_head(store, self.mesh.mesh)).unwrap()
+            proposed = versions.Accepted(
+                revision=0,
+                number=0,
+                write_id=note,
+                author='test',
+                note=note,
+                at=0.0,
+                base_revision=head.revision if head else 0,
+                text=self.text,
+            )
+            won = await versions.accept(
+                store, self.mesh.mesh, proposed, asyncio.sleep
+            )
+        assert isinstance(won, versions.Won)
+        return won.revision
+
+    def replica(self, host: str) -> replicas.Replica:
+        return self.daemons[host].kernel.find('replica', replicas.Replica)
+
+    def links(self, host: str) -> links.LinkTable:
+        return self.daemons[host].kernel.find('links', links.LinkTable)
+
+    def revision(self, host: str) -> int:
+        return self.replica(host).version.revision
+
+    def address(self, host: str) -> str:
+        kernel = self.daemons[host].kernel
+        return kernel.find('myself', own.Myself).record.control_address
+
+    def has_in_force(self, host: str, revision: int) -> bool:
+        return self.revision(host) >= revision
+
+    def knows(self, host: str, count: int) -> bool:
+        """Whether `host` knows `count` live members."""
+        return len(list(self.replica(host).fleet.live())) == count
+
+    def agree(self) -> bool:
+        """Whether all hold the same fleet, down to each record."""
+        fleets = {
+            tuple(self.replica(host).fleet.sums) for host in self.daemons
+        }
+        return len(fleets) == 1
+
+    async def until_in_force(self, revision: int, *hosts: str) -> None:
+        for host in hosts or self.daemons:
+            await self.until(
+                functools.partial(self.has_in_force, host, revision),
+                f'{revision} is in force on {host}',
+            )
+
+    async def until(self, holds: Callable[[], bool], what: str) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + WAIT_S
+        while not holds():
+            assert loop.time() < end, f'waited in vain until {what}'
+            await asyncio.sleep(POLL_S)
+
+
+@contextlib.asynccontextmanager
+async def running(text: str, hosts_per_zone: int = 2) -> AsyncIterator[Zones]:
+    """Start every zone's daemons and wait until they know each other."""
+    async with contextlib.AsyncExitStack() as stack:
+        zones = Zones(text, stack)
+        await zones.open_platform()
+        names = [
+            (f'{zone}-{number}', zone)
+            for zone in zones.mesh.availability_zones
+            for number in range(hosts_per_zone)
+        ]
+        await asyncio.gather(*(zones.start(*name) for name in names))
+        count = len(names)
+        for host, _ in names:
+            await zones.until(
+                functools.partial(zones.knows, host, count),
+                f'{host} knows all others',
+            )
+        yield zones
