--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -22,6 +22,7 @@
 from peridotpost.kernel import timers
 from peridotpost.model import config
 from peridotpost.model import errors
+from peridotpost.model import members
 from peridotpost.platform import store
 from testing import fleets
 
@@ -245,6 +246,49 @@
     await ups._try('parent', address)
 
 
+@pytest.mark.parametrize(
+    ('status', 'place'),
+    [
+        pytest.param(members.Status.ALIVE, 0, id='alive'),
+        pytest.param(members.Status.SUSPECT, -1, id='suspected'),
+        pytest.param(members.Status.DEAD, None, id='dead'),
+        pytest.param(members.Status.LEFT, None, id='left'),
+    ],
+)
+async def test_uplink_follows_what_became_of_its_parent(
+    status: members.Status, place: int | None
+) -> None:
+    # The parent of a daemon is suspected, dies or leaves the fleet.  Its
+    # stream must be taken to another, also where nobody closes it.
+    child = fleets.Node('child')
+    child.replica.clock = timers.TimerService(random.Random(1))
+    ups = uplinks.Uplinks(
+        child.replica, child.table, child.counts, 'z1', random.Random(1)
+    )
+    ups.dial = dial_for_ever
+    child.learn(fleets.member(f'host-{number}') for number in range(60))
+    child.learn([fleets.member('child')])
+    async with uplinks.holding(ups):
+        await asyncio.sleep(0)
+        before = ups.wanted['parent']
+        parent = before.candidates[0]
+        assert before.peer == parent
+        child.learn([fleets.member(parent, status=status)])
+        ups.plan()
+        after = ups.wanted['parent']
+        if place is None:
+            assert parent not in after.candidates
+        else:
+            assert after.candidates[place] == parent
+        assert bool(before.task.cancelling()) is (place != 0)
+
+
+@contextlib.asynccontextmanager
+async def dial_for_ever(address: str) -> AsyncIterator[aio.Channel]:
+    await asyncio.Event().wait()
+    yield aio.insecure_channel(address)
+
+
 class RecordingBackoff:
     """Waits for nothing and tells when it was asked eight times on end."""
 
