--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -298,6 +298,10 @@
             if isinstance(found, result.Ok):
                 read = await source.read_once()
                 addresses += [one.control_address for one in found.ok_value]
+            elif not start.failures:
+                logs.state_changed(
+                    'start', to='waiting-for-store', error=str(found.err_value)
+                )
             mine = kernel.find('myself', own.Myself).record.control_address
             addresses = [one for one in addresses if one != mine]
             ups.bootstrap = tuple(addresses)
--- a/src/peridotpost/cli/subcommands/acceptance.py
+++ b/src/peridotpost/cli/subcommands/acceptance.py
@@ -15,6 +15,8 @@
 from peridotpost.platform import store
 from peridotpost.platform import versions
 
+sleep: versions.Sleep = asyncio.sleep
+
 
 @click.command(
     epilog='Example: peridotctl accept --mesh rautasilta mesh.yaml '
@@ -51,9 +53,7 @@
             proposed = operator.propose(
                 text, author, note, standing.ok_value, write_id
             )
-            outcome = await versions.accept(
-                platform, mesh, proposed, asyncio.sleep
-            )
+            outcome = await versions.accept(platform, mesh, proposed, sleep)
         return tell(outcome, proposed, as_json)
 
     output.run(body, as_json)
@@ -105,9 +105,7 @@
                 standing.ok_value,
                 write_id,
             )
-            outcome = await versions.accept(
-                platform, mesh, proposed, asyncio.sleep
-            )
+            outcome = await versions.accept(platform, mesh, proposed, sleep)
         return tell(outcome, proposed, as_json)
 
     output.run(body, as_json)
--- a/testing/test_accept.py
+++ b/testing/test_accept.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import dataclasses
+import random
+import string
 
+import pytest
 import result
 
+from peridotpost.border import document
 from peridotpost.platform import store
 from peridotpost.platform import versions
 from testing import conftest
+from testing import fakes
 
 MESH = 'm'
 
@@ -117,3 +122,38 @@
         head = await versions.read_head(one.store, MESH)
     assert isinstance(head, result.Err)
     assert 'no accepted version' in str(head.err_value)
+
+
+@pytest.mark.parametrize(
+    ('lost', 'outcome'),
+    [(0, versions.NotWritten), (1, versions.Undecided)],
+    ids=['refused', 'refused-after-a-lost-answer'],
+)
+async def test_refused_accept_says_whether_it_may_stand(
+    lost: int, outcome: type[versions.Acceptance]
+) -> None:
+    # The store is over its quota.  Nothing was written, so "undecided"
+    # would be wrong; but after a write whose answer was lost it is right.
+    fake = fakes.FakeStore(fakes.Clock())
+    fake.lost['swap'] = lost
+    fake.over_quota = not lost
+
+    async def refuse_from_now(seconds: float) -> None:
+        fake.over_quota = True
+
+    ended = await versions.accept(fake, MESH, proposed('a'), refuse_from_now)
+    assert type(ended) is outcome
+    assert fake.calls['swap'] == lost
+
+
+async def test_value_over_the_stores_limit_is_a_problem_of_the_text(
+    randomness: random.Random,
+) -> None:
+    # The text is within its own limit but does not compress: stored in
+    # base64 it would be over a megabyte.  It ended in a traceback.
+    fake = fakes.FakeStore(fakes.Clock())
+    noise = ''.join(randomness.choices(string.printable, k=1_000_000))
+    one = dataclasses.replace(proposed('a'), text=noise)
+    with pytest.raises(document.DocumentError, match='shorten it'):
+        await versions.accept(fake, MESH, one, no_sleep)
+    assert (await versions.read_head(fake, MESH)).unwrap() is None
