--- a/src/peridotpost/admin/pages.py
+++ b/src/peridotpost/admin/pages.py
@@ -102,23 +102,28 @@
             ) from error
         found = self.kernel.find('targets', local.LocalTargets)
         clock = self.kernel.find('timers', timers.TimerService)
-        found.announce(
-            local.LocalTarget(
-                service=service,
-                name=heard.name,
-                port=heard.port,
-                slots=heard.slots,
-                connections=heard.connections,
-                state=members.TargetState[heard.state.upper()],
-                good_until=clock.now() + found.ttl_s,
-            )
+        target = local.LocalTarget(
+            service=service,
+            name=heard.name,
+            port=heard.port,
+            slots=heard.slots,
+            connections=heard.connections,
+            state=members.TargetState[heard.state.upper()],
+            good_until=clock.now() + found.ttl_s,
         )
+        try:
+            found.announce(target)
+        except local.NameTaken as error:
+            raise web.HTTPError(409, reason=error.message) from error
         self.finish({})
 
     def delete(self, service: str) -> None:
+        """Forget the target of that ``name``, or all of the service."""
         found = self.kernel.find('targets', local.LocalTargets)
+        name = self.get_query_argument('name', '')
         for target in found.of_service(service):
-            found.withdraw(service, target.name, 'its own word')
+            if name in ('', target.name):
+                found.withdraw(service, target.name, 'its own word')
         self.finish({})
 
 
--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -327,7 +327,7 @@
         clock.subscribe('seeds', timing.seed_period_s, self._keep_seed)
         clock.subscribe(
             'target-expiry',
-            timing.target_ttl_s / 4,
+            timing.target_ttl_s / local.EXPIRY_CHECKS,
             lambda: targets.expire(clock.now()),
         )
 
