--- a/src/peridotpost/calls/router.py
+++ b/src/peridotpost/calls/router.py
@@ -65,7 +65,8 @@
 
         :param first_attempt: dispatches are numbered from the next on.
         """
-        call = dataclasses.replace(call, attempt=first_attempt)
+        if first_attempt:
+            call = dataclasses.replace(call, attempt=first_attempt)
         began = self.clock.now()
         tried: set[str] = set()
         left = call
--- a/src/peridotpost/calls/views.py
+++ b/src/peridotpost/calls/views.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import dataclasses
 import json
 import random
 import zlib
@@ -37,7 +36,13 @@
 
 
 def encode(schedule: ownership.Schedule) -> bytes:
-    return zlib.compress(json.dumps(dataclasses.asdict(schedule)).encode())
+    plain = {
+        'founded_ms': schedule.founded_ms,
+        'floor_ms': schedule.floor_ms,
+        'horizon_ms': schedule.horizon_ms,
+        'spans': [_to_row(one) for one in schedule.spans],
+    }
+    return zlib.compress(json.dumps(plain).encode())
 
 
 def decode(kv: stores.KeyValue) -> ownership.Schedule:
@@ -51,7 +56,7 @@
             int(plain['founded_ms']),
             int(plain['floor_ms']),
             int(plain['horizon_ms']),
-            tuple(ownership.Span(**one) for one in plain['spans']),
+            tuple(_from_row(*row) for row in plain['spans']),
         )
     except (zlib.error, ValueError, KeyError, TypeError) as error:
         raise errors.StoreGarbage(
@@ -59,6 +64,27 @@
         ) from error
 
 
+Row = tuple[str, str, int, int, int]
+
+
+def _to_row(span: ownership.Span) -> Row:
+    return (
+        span.host,
+        span.zone,
+        span.incarnation,
+        span.since_ms,
+        span.until_ms,
+    )
+
+
+def _from_row(
+    host: str, zone: str, incarnation: int, since_ms: int, until_ms: int
+) -> ownership.Span:
+    return ownership.Span(
+        str(host), str(zone), int(incarnation), int(since_ms), int(until_ms)
+    )
+
+
 class ScheduleKeeper:
     """Holds a copy of the schedule; only what the store confirmed."""
 
--- a/src/peridotpost/decisions/ownership.py
+++ b/src/peridotpost/decisions/ownership.py
@@ -191,12 +191,17 @@
     return low >= high or _cut(old, low, high) == _cut(new, low, high)
 
 
-def _cut(schedule: Schedule, low: int, high: int) -> set[Span]:
+_Cut = tuple[str, str, int, int, int]
+
+
+def _cut(schedule: Schedule, low: int, high: int) -> set[_Cut]:
     return {
-        dataclasses.replace(
-            one,
-            since_ms=max(low, one.since_ms),
-            until_ms=min(high, one.until_ms),
+        (
+            one.host,
+            one.zone,
+            one.incarnation,
+            max(low, one.since_ms),
+            min(high, one.until_ms),
         )
         for one in schedule.spans
         if one.since_ms < high and one.until_ms > low
