A daemon that cannot tell no longer denies that a key ran

Cause: an ingress that was not ready, or did not know the service, answered not-run to a call with a key whose owner it had not asked; its caller may have been answered unknown by another daemon after a run. Such refusals are now unknown, unless the call came without a key. The same for a key that ran with another request: it may be the same call written anew.

--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -105,7 +105,8 @@
             call = self.to_call(start, headers, body, request_id)
         except RefusedRequest as error:
             self.counts.add(f'ingress.refused.{error.refusal.reason.value}')
-            return problems.to_answer(error.refusal, request_id)
+            refused = _of_key(error.refusal, headers.get(KEY_HEADER))
+            return problems.to_answer(refused, request_id)
         self.events.record(
             'call.received', call.service, request_id=request_id
         )
@@ -286,6 +287,22 @@
         ) from error
 
 
+def _of_key(refusal: calls.NotRun, key: str | None) -> calls.Outcome:
+    """Return what a refusal here says of a request with a key.
+
+    Failure answered: a caller whose call ran, but whose answer was lost,
+    sends it again to a daemon that is not ready or holds another version;
+    told `not run`, it would send the call under a new key.  Only the key's
+    owner can tell; a key that is none was never run anywhere.
+    """
+    if key is None or refusal.reason is calls.NotRunReason.BAD_KEY:
+        return refusal
+    return calls.OutcomeUnknown(
+        f'{refusal.detail}; this daemon did not run it, and cannot tell '
+        'whether it ran by another'
+    )
+
+
 def _with_key(answer: calls.Answer, key: str) -> calls.Answer:
     """Return the answer with the key that its call ran under."""
     if not key:
--- a/src/peridotpost/calls/owner.py
+++ b/src/peridotpost/calls/owner.py
@@ -158,8 +158,9 @@
         key = idempotency.parse(call.key)
         fingerprint = fingerprint_of(call)
         entry = self.ledger.entries.get(key.text)
-        if entry is not None and entry.fingerprint not in (b'', fingerprint):
-            return self._other_request()
+        if entry is not None and not entry.never_ran:
+            if entry.fingerprint != fingerprint:
+                return self._other_request()
         running = self.running.get(key.text)
         if running is not None:
             self._note('joined', call)
@@ -243,13 +244,16 @@
             peer=self.replica.host,
         )
 
-    def _other_request(self) -> calls.NotRun:
+    def _other_request(self) -> calls.OutcomeUnknown:
+        """Refuse a request that differs from the one the key ran with.
+
+        It may be the same call written anew, with another time in its
+        body; told `not run`, its caller would send it under a new key.
+        """
         self.counts.add('owner.other-request')
-        return calls.NotRun(
-            calls.NotRunReason.BAD_KEY,
-            'the key belongs to another request; send this one under a new '
-            'key',
-            peer=self.replica.host,
+        return self._unknown(
+            'the key ran with another request (service, method, path or '
+            'body); this one was not run'
         )
 
     def _unknown(self, detail: str) -> calls.OutcomeUnknown:
