--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -11,6 +11,8 @@
 import dataclasses
 import random
 
+import eliot
+from tornado import http1connection
 from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
@@ -32,12 +34,18 @@
 MAX_BODY_BYTES = 16_777_216
 KEY_HEADER = 'Idempotency-Key'
 FROM_HEADER = 'Peridot-From'
+CALLER_HEADER = 'Peridot-Caller'
+MAX_CALLER_LENGTH = 64
+MAX_DIGITS = 18
+UNKNOWN_BODY_BYTES = 65_536
+"""Kept of a request to no known service, only to answer it."""
 OWN_HEADERS = connections.HOP_HEADERS | {
     'idempotency-key',
     'peridot-timeout-ms',
     'peridot-depth',
     'peridot-request-id',
     'peridot-from',
+    'peridot-caller',
 }
 
 
@@ -86,9 +94,6 @@
     ) -> httputil.HTTPMessageDelegate:
         return _Request(self, request_conn)
 
-    def on_close(self, server_conn: object) -> None:
-        self.counts.add('ingress.closed')
-
     def new_request_id(self) -> str:
         return f'{self.randomness.getrandbits(64):016x}'
 
@@ -98,11 +103,12 @@
         headers: httputil.HTTPHeaders,
         body: bytes,
         request_id: str,
+        source: str = '',
     ) -> calls.Answer:
         """Return the one answer to a request that was read whole."""
         self.counts.add('ingress.requests')
         try:
-            call = self.to_call(start, headers, body, request_id)
+            call = self.to_call(start, headers, body, request_id, source)
         except RefusedRequest as error:
             self.counts.add(f'ingress.refused.{error.refusal.reason.value}')
             refused = _of_key(error.refusal, headers.get(KEY_HEADER))
@@ -117,12 +123,20 @@
         )
         return _with_key(problems.to_answer(outcome, request_id), call.key)
 
+    def body_limit(self, headers: httputil.HTTPHeaders) -> int:
+        """Return how many bytes of a request's body are kept."""
+        route = self.replica.table.routes.get(_service(headers))
+        if route is None:
+            return UNKNOWN_BODY_BYTES
+        return route.spec.limits.body_bytes
+
     def to_call(
         self,
         start: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
         body: bytes,
         request_id: str,
+        source: str = '',
     ) -> calls.Call:
         """Check a request against the configuration.
 
@@ -132,7 +146,12 @@
             raise RefusedRequest(
                 calls.NotRunReason.NOT_READY, 'this daemon is not serving'
             )
-        service = headers.get('Host', '').split(':')[0].split('.')[0].lower()
+        service = _service(headers)
+        if not service:
+            raise RefusedRequest(
+                calls.NotRunReason.BAD_REQUEST,
+                'the request names no service; name one in Host',
+            )
         route = self.replica.table.routes.get(service)
         if route is None:
             raise RefusedRequest(
@@ -142,11 +161,6 @@
             )
         self._check_allowed(service, headers)
         spec = route.spec
-        if len(body) > spec.limits.body_bytes:
-            raise RefusedRequest(
-                calls.NotRunReason.TOO_LARGE,
-                f'the body is over {spec.limits.body_bytes} bytes',
-            )
         rule = spec.rule_for(start.method, start.path)
         depth = _number(headers, guards.DEPTH_HEADER, 0)
         if depth >= MAX_DEPTH:
@@ -159,12 +173,13 @@
             service=service,
             method=start.method,
             path=start.path,
-            headers=_passed_on(headers),
+            headers=connections.end_to_end(headers, OWN_HEADERS),
             body=body,
             budget_ms=min(asked_ms, rule.deadline_ms),
             idempotent=rule.idempotent,
             key='' if rule.idempotent else _key(headers, self.router.keyed),
             depth=depth,
+            caller=_caller(headers, source),
         )
 
     def _check_allowed(
@@ -200,6 +215,9 @@
         self.start: httputil.RequestStartLine | None = None
         self.headers = httputil.HTTPHeaders()
         self.chunks: list[bytes] = []
+        self.size = 0
+        self.limit = 0
+        self.refused = False
         self.work: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -210,14 +228,41 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self.start = start_line
         self.headers = headers
+        self.limit = self.ingress.body_limit(headers)
+        declared = headers.get('Content-Length', '')
+        if declared.isdigit() and len(declared) < MAX_DIGITS:
+            self.size = int(declared)
+        if self.size <= self.limit:
+            self.size = 0
+        elif self.size > MAX_BODY_BYTES or 'Expect' in headers:
+            # Refused before its body is sent, or in the middle of one
+            # that is too long to be read to its end.
+            if isinstance(self.connection, http1connection.HTTP1Connection):
+                self.connection.set_max_body_size(self.size)
+            self.refused = True
+            request_id = self._request_id()
+            self._write(self._too_large(request_id), request_id)
 
     def data_received(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
+        # A body over the limit is read to its end, but not kept: a caller
+        # that is still sending would lose the answer to a reset.
+        self.size += len(chunk)
+        if self.size > self.limit:
+            self.chunks.clear()
+        else:
+            self.chunks.append(chunk)
 
     def finish(self) -> None:
+        if self.refused:
+            return
         self.ingress.in_flight += 1
         self.work = asyncio.ensure_future(self._serve())
         self.work.add_done_callback(self._served)
+        # The delegate's own `on_connection_close` is only called while a
+        # request is read; without this a caller that leaves while it
+        # waits goes unnoticed and its call holds a slot to the end.
+        if isinstance(self.connection, http1connection.HTTP1Connection):
+            self.connection.set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
         if self.work is not None:
@@ -229,15 +274,49 @@
         if not work.cancelled() and work.exception() is not None:
             self.ingress.counts.add('ingress.failed')
 
-    async def _serve(self) -> None:
+    async def _answer(self, request_id: str) -> calls.Answer:
         assert self.start is not None
-        request_id = (
-            self.headers.get(guards.REQUEST_ID_HEADER, '')[:64]
-            or self.ingress.new_request_id()
-        )
-        answer = await self.ingress.answer(
-            self.start, self.headers, b''.join(self.chunks), request_id
+        if self.size > self.limit:
+            return self._too_large(request_id)
+        context = getattr(self.connection, 'context', None)
+        try:
+            return await self.ingress.answer(
+                self.start,
+                self.headers,
+                b''.join(self.chunks),
+                request_id,
+                getattr(context, 'remote_ip', ''),
+            )
+        except Exception:
+            # A fault of ours must not leave the caller without a word; the
+            # call may be under way, so the word is "unknown".
+            self.ingress.counts.add('ingress.failed')
+            eliot.write_traceback()
+            unknown = calls.OutcomeUnknown('the daemon failed on this call')
+            return problems.to_answer(unknown, request_id)
+
+    def _too_large(self, request_id: str) -> calls.Answer:
+        self.ingress.counts.add('ingress.refused.too-large')
+        refusal = calls.NotRun(
+            calls.NotRunReason.TOO_LARGE,
+            f'the body is over {self.limit} bytes',
         )
+        return problems.to_answer(refusal, request_id)
+
+    def _request_id(self) -> str:
+        given = self.headers.get(guards.REQUEST_ID_HEADER, '')
+        return given[:64] or self.ingress.new_request_id()
+
+    async def _serve(self) -> None:
+        request_id = self._request_id()
+        answer = await self._answer(request_id)
+        with contextlib.suppress(iostream.StreamClosedError):
+            await self._write(answer, request_id)
+
+    def _write(
+        self, answer: calls.Answer, request_id: str
+    ) -> asyncio.Future[None]:
+        assert self.start is not None
         headers = httputil.HTTPHeaders()
         for header in answer.headers:
             headers.add(header.name, header.value)
@@ -250,21 +329,26 @@
         line = httputil.ResponseStartLine(
             'HTTP/1.1', answer.status, answer.reason
         )
-        with contextlib.suppress(iostream.StreamClosedError):
-            written = self.connection.write_headers(
-                line, headers, answer.body if not bodiless else None
-            )
-            self.connection.finish()
-            await written
+        written = self.connection.write_headers(
+            line, headers, answer.body if not bodiless else None
+        )
+        self.connection.finish()
+        return written
+
+
+def _service(headers: httputil.HTTPHeaders) -> str:
+    host = headers.get('Host', '')
+    return host.partition(':')[0].partition('.')[0].lower()
 
 
 def _number(headers: httputil.HTTPHeaders, name: str, default: int) -> int:
     raw = headers.get(name)
     if raw is None:
         return default
-    if not raw.isascii() or not raw.isdigit():
+    # int() itself raises beyond some thousand digits.
+    if not raw.isascii() or not raw.isdigit() or len(raw) > MAX_DIGITS:
         raise RefusedRequest(
-            calls.NotRunReason.BAD_KEY, f'{name} is not a whole number'
+            calls.NotRunReason.BAD_REQUEST, f'{name} is not a whole number'
         )
     return int(raw)
 
@@ -312,12 +396,10 @@
     return dataclasses.replace(answer, headers=headers)
 
 
-def _passed_on(headers: httputil.HTTPHeaders) -> tuple[calls.Header, ...]:
-    return tuple(
-        calls.Header(name, value)
-        for name, value in headers.get_all()
-        if name.lower() not in OWN_HEADERS
-    )
+def _caller(headers: httputil.HTTPHeaders, source: str) -> str:
+    """Return who sends: as named, else a service, else its address."""
+    named = headers.get(CALLER_HEADER) or headers.get(FROM_HEADER) or source
+    return named[:MAX_CALLER_LENGTH]
 
 
 @contextlib.asynccontextmanager
--- a/src/peridotpost/calls/peers.py
+++ b/src/peridotpost/calls/peers.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import itertools
 import socket
 from typing import Protocol
@@ -20,6 +21,7 @@
 from peridotpost.calls import frames
 from peridotpost.calls import guard as guards
 from peridotpost.kernel import counters
+from peridotpost.kernel import hooks
 from peridotpost.model import calls
 from peridotpost.model import errors
 
@@ -28,14 +30,37 @@
 """Time beyond the call's own budget before its stream is given up on."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A guard's word on one of its targets: what runs and waits, per slot."""
+
+    peer: str
+    target: str
+    load: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A call on a stream whose outcome has not come."""
+
+    target: str
+    outcome: asyncio.Future[calls.Outcome]
+
+
 class PeerStream:
     """The calling side of one stream to another daemon."""
 
-    def __init__(self, peer: str, counts: counters.Counters) -> None:
+    def __init__(
+        self,
+        peer: str,
+        counts: counters.Counters,
+        reported: hooks.Hook[LoadReport],
+    ) -> None:
         self.peer = peer
         self.counts = counts
+        self.reported = reported
         self.numbers = itertools.count(1)
-        self.waiting: dict[int, asyncio.Future[calls.Outcome]] = {}
+        self.waiting: dict[int, Waiting] = {}
         self.stream: iostream.IOStream | None = None
         self.reading: asyncio.Task[None] | None = None
 
@@ -62,18 +87,25 @@
         return await self.exchange(
             lambda number: frames.CallFrame(number, call, target),
             call.budget_ms / 1000 + ANSWER_GRACE_S,
+            target,
         )
 
     async def exchange(
-        self, frame_of: Callable[[int], frames.Frame], wait_s: float
+        self,
+        frame_of: Callable[[int], frames.Frame],
+        wait_s: float,
+        target: str = '',
     ) -> calls.Outcome:
-        """Send a frame and return the outcome that comes back for it."""
+        """Send a frame and return the outcome that comes back for it.
+
+        :param target: whose load the outcome tells; empty for none.
+        """
         assert self.stream is not None
         number = next(self.numbers)
         outcome: asyncio.Future[calls.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
-        self.waiting[number] = outcome
+        self.waiting[number] = Waiting(target, outcome)
         try:
             self.stream.write(frames.encode(frame_of(number)))
             return await asyncio.wait_for(outcome, wait_s)
@@ -108,21 +140,29 @@
             self.counts.add('peer.unreadable')
         finally:
             stream.close()
-            for outcome in self.waiting.values():
-                if not outcome.done():
-                    outcome.set_result(self._lost('its stream closed'))
+            for one in self.waiting.values():
+                if not one.outcome.done():
+                    one.outcome.set_result(self._lost('its stream closed'))
 
     def _take(self, frame: frames.Frame) -> None:
         waiting = self.waiting.get(frame.number)
-        if waiting is None or waiting.done():
+        if waiting is None or waiting.outcome.done():
             self.counts.add('peer.late')
             return
         if isinstance(frame, frames.AnswerFrame):
-            waiting.set_result(frame.answer)
+            waiting.outcome.set_result(frame.answer)
         elif isinstance(frame, frames.NotRunFrame):
-            waiting.set_result(frame.refusal)
+            waiting.outcome.set_result(frame.refusal)
         elif isinstance(frame, frames.UnknownFrame):
-            waiting.set_result(frame.unknown)
+            waiting.outcome.set_result(frame.unknown)
+        else:
+            raise errors.CodecError(
+                'a frame that only a caller sends',
+                step='frame.take',
+                peer=self.peer,
+            )
+        report = LoadReport(self.peer, waiting.target, frame.load)
+        self.reported.fire(report)
 
     async def close(self) -> None:
         if self.stream is not None:
@@ -136,6 +176,7 @@
 
     def __init__(self, counts: counters.Counters) -> None:
         self.counts = counts
+        self.reported: hooks.Hook[LoadReport] = hooks.Hook('load.reported')
         self.streams: dict[tuple[str, int], PeerStream] = {}
         self.opening: dict[tuple[str, int], asyncio.Future[PeerStream]] = {}
 
@@ -155,6 +196,17 @@
             )
         return await stream.run(call, target)
 
+    async def tell(
+        self, address: str, port: int, peer: str, frame: frames.CrashFrame
+    ) -> None:
+        """Send a frame that has no answer; it may be lost."""
+        try:
+            stream = await self._stream(address, port, peer)
+            if stream.stream is not None:
+                await stream.stream.write(frames.encode(frame))
+        except (OSError, TimeoutError, iostream.StreamClosedError):
+            self.counts.add('peer.untold')
+
     async def reach(
         self, address: str, port: int, peer: str
     ) -> PeerStream | None:
@@ -178,7 +230,7 @@
         return await asyncio.shield(opening)
 
     async def _open(self, key: tuple[str, int], peer: str) -> PeerStream:
-        stream = PeerStream(peer, self.counts)
+        stream = PeerStream(peer, self.counts, self.reported)
         await stream.connect(*key)
         self.streams[key] = stream
         self.counts.add('peer.opened')
@@ -239,19 +291,29 @@
             found = running.get(frame.number)
             if found is not None:
                 found.cancel()
+        elif isinstance(frame, frames.CrashFrame):
+            self.guard.heard_of_crash(
+                frame.names, frame.target, frame.incident
+            )
+        else:
+            raise errors.CodecError(
+                'a frame that only a guard sends', step='frame.act'
+            )
 
     async def _run(
         self,
         frame: frames.CallFrame | frames.OwnerFrame,
         stream: iostream.IOStream,
     ) -> None:
+        load = 0.0
         if isinstance(frame, frames.CallFrame):
             outcome = await self.guard.run(frame.call, frame.target)
+            load = self.guard.load_of(frame.call.service, frame.target)
         elif self.owner is not None:
             outcome = await self.owner.serve(frame)
         else:
             outcome = calls.OutcomeUnknown('no key is owned here')
-        reply = frames.encode(frames.to_frame(frame.number, outcome))
+        reply = frames.encode(frames.to_frame(frame.number, outcome, load))
         with contextlib.suppress(iostream.StreamClosedError):
             await stream.write(reply)
 
--- a/src/peridotpost/calls/router.py
+++ b/src/peridotpost/calls/router.py
@@ -1,12 +1,16 @@
 """Sends a call to one target after another, within the rules."""
 
+import asyncio
 import dataclasses
 import random
 from typing import Protocol
 
+from peridotpost.calls import frames
 from peridotpost.calls import guard as guards
 from peridotpost.calls import peers
 from peridotpost.decisions import choice
+from peridotpost.decisions import ejection
+from peridotpost.decisions import poison
 from peridotpost.decisions import retry
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
@@ -15,6 +19,8 @@
 from peridotpost.model import calls
 from peridotpost.model import routing
 
+FORGET_PERIOD_S = 60.0
+
 
 class KeyedCalls(Protocol):
     """The way of non-idempotent calls, to the owner of their key."""
@@ -46,9 +52,12 @@
         self.counts = counts
         self.zone = zone
         self.randomness = randomness
-        self.outstanding: dict[str, int] = {}
-        self.budget = retry.RetryBudget()
+        self.book = choice.LoadBook()
+        self.ejector = ejection.Ejector(zone, randomness)
+        self.budgets: dict[str, retry.RetryBudget] = {}
         self.keyed: KeyedCalls | None = None
+        streams.reported.subscribe(self._load_reported)
+        clock.subscribe('router.forget', FORGET_PERIOD_S, self._forget)
 
     async def route(self, call: calls.Call) -> calls.Outcome:
         """Carry `call` to a target and return its one outcome."""
@@ -61,32 +70,55 @@
     ) -> calls.Outcome:
         """Try one target after another.
 
-        A call with a key comes here once, from its owner.
+        A call with a key comes here once, from its owner.  Only then may
+        it be refused as one that crashes targets: an earlier resend could
+        have run, and "not run" would be wrong.
 
         :param first_attempt: dispatches are numbered from the next on.
         """
+        refused_s = self.guard.poison.refused_for_s(call, self.clock.now())
+        if refused_s > 0:
+            return self._poisoned(refused_s)
         if first_attempt:
             call = dataclasses.replace(call, attempt=first_attempt)
+        return retry.marked(await self._try_targets(call))
+
+    async def _try_targets(self, call: calls.Call) -> calls.Outcome:
+        budget = self.budgets.setdefault(call.service, retry.RetryBudget())
+        budget.earn()
         began = self.clock.now()
         tried: set[str] = set()
         left = call
-        self.budget.earn()
+        best: calls.Outcome | None = None
         while True:
             outcome = await self._attempt(left, tried)
+            best = retry.final_of(best, outcome)
             spent_ms = int((self.clock.now() - began) * 1000)
             left_ms = call.budget_ms - spent_ms
             if not retry.may_retry(
                 outcome, call.idempotent, len(tried), left_ms
             ):
-                return outcome
-            if not self._has_other(call, tried) or not self.budget.spend():
-                return outcome
+                return best
+            if self.guard.poison.refused_for_s(call, self.clock.now()) > 0:
+                return best
+            if not self._has_other(call, tried) or not budget.spend():
+                return best
             self.counts.add('router.retried')
             self.events.record(
                 'call.retried', str(outcome), request_id=call.request_id
             )
             left = dataclasses.replace(call, budget_ms=left_ms)
 
+    def _poisoned(self, refused_s: float) -> calls.NotRun:
+        self.counts.add('router.poisoned')
+        return calls.NotRun(
+            calls.NotRunReason.POISON,
+            'this request crashed the targets that ran it; mend it, or '
+            'send it again later',
+            round(refused_s * 1000),
+            self.replica.host,
+        )
+
     def _endpoints(self, call: calls.Call) -> tuple[routing.Endpoint, ...]:
         route = self.replica.table.routes.get(call.service)
         return route.endpoints if route is not None else ()
@@ -112,32 +144,104 @@
         if not call.idempotent:
             attempt = call.attempt + len(tried)
             call = dataclasses.replace(call, attempt=attempt)
-        self.outstanding[key] = self.outstanding.get(key, 0) + 1
+        self.book.sent(key)
+        self.ejector.trying(key, self.clock.now())
         try:
-            return await self._send(call, endpoint)
+            outcome = await self._send(call, endpoint)
         finally:
-            self._settle(key)
+            self.book.settled(key)
+        await self._learn(call, endpoint, outcome)
+        return outcome
+
+    async def _learn(
+        self,
+        call: calls.Call,
+        endpoint: routing.Endpoint,
+        outcome: calls.Outcome,
+    ) -> None:
+        """Draw from an outcome what later choices need."""
+        key = choice.key_of(endpoint)
+        others = (
+            choice.key_of(one)
+            for one in self._endpoints(call)
+            if one is not endpoint
+        )
+        self.ejector.note(
+            _subject(endpoint),
+            ejection.verdict_of(outcome),
+            others,
+            self.clock.now(),
+        )
+        if isinstance(outcome, calls.OutcomeUnknown) and outcome.incident:
+            await self._tell_of_crash(call, key, outcome.incident)
+        elif isinstance(outcome, calls.Answer):
+            self.guard.poison.answered(call)
 
-    def _settle(self, key: str) -> None:
-        left = self.outstanding[key] - 1
-        if left:
-            self.outstanding[key] = left
-        else:
-            del self.outstanding[key]
+    async def _tell_of_crash(
+        self, call: calls.Call, target: str, incident: str
+    ) -> None:
+        """Have every guard of the service know the request.
+
+        The next attempt may come by way of any daemon, and guards are
+        where all of them meet.  The caller waits for it, half a second at
+        most, since it may send again as soon as it has its answer.
+        """
+        names = poison.fingerprints(call)
+        self.guard.heard_of_crash(names, target, incident)
+        frame = frames.CrashFrame(0, names, target, incident)
+        told = {one.host: one for one in self._endpoints(call)}
+        told.pop(self.replica.host, None)
+        await asyncio.gather(
+            *(
+                self.streams.tell(one.address, one.call_port, one.host, frame)
+                for one in told.values()
+            )
+        )
+
+    def _load_reported(self, report: peers.LoadReport) -> None:
+        key = f'{report.peer}/{report.target}'
+        self.book.report(key, report.load, self.clock.now())
 
     def _choose(
         self, call: calls.Call, tried: set[str]
     ) -> routing.Endpoint | None:
         endpoints = self._endpoints(call)
+        now = self.clock.now()
+        out = self.ejector.excluded(map(_subject, endpoints), now)
+        found = self._choose_among(endpoints, tried | out, now)
+        if found is None and out:
+            # Nobody else is left: an ejected target beats none.
+            found = self._choose_among(endpoints, tried, now)
+        return found
+
+    def _choose_among(
+        self,
+        endpoints: tuple[routing.Endpoint, ...],
+        excluded: set[str],
+        now: float,
+    ) -> routing.Endpoint | None:
         return choice.choose(
-            endpoints, self.zone, self.outstanding, tried, self.randomness
+            endpoints, self.zone, self.book, excluded, now, self.randomness
         )
 
+    def _forget(self) -> None:
+        now = self.clock.now()
+        self.book.forget(now)
+        self.ejector.forget(now)
+        self.guard.poison.forget(now)
+        self.guard.forget()
+
     async def _send(
         self, call: calls.Call, endpoint: routing.Endpoint
     ) -> calls.Outcome:
         if endpoint.host == self.replica.host:
-            return await self.guard.run(call, endpoint.name)
+            outcome = await self.guard.run(call, endpoint.name)
+            self.book.report(
+                choice.key_of(endpoint),
+                self.guard.load_of(call.service, endpoint.name),
+                self.clock.now(),
+            )
+            return outcome
         return await self.streams.run(
             endpoint.address,
             endpoint.call_port,
@@ -145,3 +249,9 @@
             call,
             endpoint.name,
         )
+
+
+def _subject(endpoint: routing.Endpoint) -> ejection.Subject:
+    return ejection.Subject(
+        choice.key_of(endpoint), endpoint.host, endpoint.availability_zone
+    )
--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -19,6 +19,8 @@
 from peridotpost.calls import views
 from peridotpost.decisions import ownership
 from peridotpost.decisions import pacing
+from peridotpost.decisions import seeds as seed_rules
+from peridotpost.decisions import versions as version_rules
 from peridotpost.distribution import links
 from peridotpost.distribution import reconcile
 from peridotpost.distribution import replica as replicas
@@ -39,9 +41,6 @@
 from peridotpost.model import members
 from peridotpost.platform import etcd
 
-FIRST_READ_PEERS = 3
-"""Peers whose versions a fresh daemon compares before it serves, beside
-the store's: a store that is out cannot tell it of a newer version."""
 MEETING_ATTEMPTS = 5
 LEAVE_SPREAD_S = 0.5
 """Time in which the fleet hears that this daemon leaves, before it stops
@@ -51,19 +50,14 @@
 class ReplicaMembers:
     """Shows the replica to the prober."""
 
-    def __init__(self, replica: replicas.Replica, zone: str) -> None:
+    def __init__(self, replica: replicas.Replica) -> None:
         self.replica = replica
-        self.zone = zone
 
     def record_of(self, host: str) -> members.MemberRecord | None:
         return self.replica.fleet.records.get(host)
 
-    def live_in_zone(self) -> list[members.MemberRecord]:
-        return [
-            one
-            for one in self.replica.fleet.live()
-            if one.availability_zone == self.zone
-        ]
+    def live(self) -> list[members.MemberRecord]:
+        return list(self.replica.fleet.live())
 
     def offer(self, record: members.MemberRecord) -> None:
         self.replica.offer_member(record, 'probe')
@@ -134,18 +128,17 @@
         counts = kernel.find('counters', counters.Counters)
         clock = kernel.find('timers', timers.TimerService)
         zone = given.availability_zone
-        table = links.LinkTable(replica)
+        table = links.LinkTable(replica, self.incarnation, zone)
         kernel.register('links', table)
-        servicer = control.ControlServicer(
-            replica, table, counts, self.incarnation, zone
-        )
+        servicer = control.ControlServicer(replica, table, counts)
         kernel.register('control', servicer)
         control_port = await stack.enter_async_context(
             control.serving(servicer, given.address, given.listen.control_port)
         )
         prober = probing.Prober(
             given.host,
-            ReplicaMembers(replica, zone),
+            zone,
+            ReplicaMembers(replica),
             clock,
             counts,
             self.randomness,
@@ -172,9 +165,7 @@
             admin_port=0,
         )
         kernel.register('myself', own.Myself(record))
-        ups = uplinks.Uplinks(
-            replica, table, counts, self.incarnation, zone, self.randomness
-        )
+        ups = uplinks.Uplinks(replica, table, counts, zone, self.randomness)
         kernel.register('uplinks', ups)
         kernel.register(
             'reconciler',
@@ -329,28 +320,42 @@
         given = self.settings
         kernel = self.kernel
         source = kernel.find('source', sources.Source)
-        reconciler = kernel.find('reconciler', reconcile.Reconciler)
         ups = kernel.find('uplinks', uplinks.Uplinks)
-        store = kernel.find('store', etcd.EtcdStore)
-        backoff = pacing.Backoff(self.randomness)
+        keeper = kernel.find('seeds', seeds.SeedKeeper)
+        start = seed_rules.StartPacing(
+            self.randomness, given.timing.start_spread_s
+        )
+        await asyncio.sleep(start.first_delay())
         while True:
-            read = await source.read_once()
-            found = await seeds.find_seeds(
-                store, given.mesh, given.availability_zone, self.randomness
-            )
+            found = await keeper.find(given.availability_zone, self.randomness)
+            read = False
             addresses = list(given.peers)
+            self.randomness.shuffle(addresses)
             if isinstance(found, result.Ok):
+                read = await source.read_once()
                 addresses += [one.control_address for one in found.ok_value]
             mine = kernel.find('myself', own.Myself).record.control_address
             addresses = [one for one in addresses if one != mine]
             ups.bootstrap = tuple(addresses)
-            asked = [
-                await reconciler.ask(one)
-                for one in addresses[:FIRST_READ_PEERS]
-            ]
-            if read or any(asked):
+            if await self._ask_peers(read, addresses):
                 return
-            await asyncio.sleep(backoff.next_delay())
+            await asyncio.sleep(start.next_delay())
+
+    async def _ask_peers(self, store_read: bool, addresses: list[str]) -> bool:
+        """Ask a few peers at a time until enough of them answered."""
+        reconciler = self.kernel.find('reconciler', reconcile.Reconciler)
+        step = version_rules.FIRST_READ_PEERS
+        answered = 0
+        for start in range(0, max(1, len(addresses)), step):
+            group = addresses[start : start + step]
+            answers = await asyncio.gather(*map(reconciler.ask, group))
+            answered += sum(answers)
+            asked = start + len(group)
+            if version_rules.heard_enough(
+                store_read, answered, asked, len(addresses)
+            ):
+                return True
+        return False
 
     def _subscribe_timers(self, targets: local.LocalTargets) -> None:
         kernel = self.kernel
@@ -407,12 +412,10 @@
         """
         kernel = self.kernel
         given = self.settings
-        store = kernel.find('store', etcd.EtcdStore)
+        keeper = kernel.find('seeds', seeds.SeedKeeper)
         replica = kernel.find('replica', replicas.Replica)
         reconciler = kernel.find('reconciler', reconcile.Reconciler)
-        found = await seeds.find_seeds(
-            store, given.mesh, given.availability_zone, self.randomness
-        )
+        found = await keeper.find(given.availability_zone, self.randomness)
         if isinstance(found, result.Err):
             return
         asked: set[str] = set()
