--- a/src/peridotpost/calls/router.py
+++ b/src/peridotpost/calls/router.py
@@ -79,8 +79,9 @@
         refused_s = self.guard.poison.refused_for_s(call, self.clock.now())
         if refused_s > 0:
             return self._poisoned(refused_s)
-        numbered = dataclasses.replace(call, attempt=first_attempt)
-        return retry.marked(await self._try_targets(numbered))
+        if first_attempt:
+            call = dataclasses.replace(call, attempt=first_attempt)
+        return retry.marked(await self._try_targets(call))
 
     async def _try_targets(self, call: calls.Call) -> calls.Outcome:
         budget = self.budgets.setdefault(call.service, retry.RetryBudget())
