Part the waiting at gates from the guard; cut off senders that stop

A body that never ended held its memory for good; a call whose stream closed between choice and write was told as unknown though nothing was written.

--- a/src/peridotpost/calls/guard.py
+++ b/src/peridotpost/calls/guard.py
@@ -7,13 +7,10 @@
 
 import asyncio
 import collections
-from collections.abc import Iterator
-import contextlib
 import dataclasses
 
 from peridotpost.calls import connections
-from peridotpost.decisions import admission
-from peridotpost.decisions import fairness
+from peridotpost.calls import gates
 from peridotpost.decisions import poison
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
@@ -34,17 +31,6 @@
 REQUEST_ID_HEADER = 'Peridot-Request-Id'
 
 
-@dataclasses.dataclass(slots=True)
-class TargetGate:
-    """A target's gate and the futures of those who wait at it.
-
-    A future gives whether its request may run.
-    """
-
-    gate: admission.Gate
-    waiters: dict[fairness.Ticket, asyncio.Future[bool]]
-
-
 class Guard:
     """Runs calls on this host's targets."""
 
@@ -63,7 +49,7 @@
         self.clock = clock
         self.events = events
         self.counts = counts
-        self.gates: dict[tuple[str, str], TargetGate] = {}
+        self.gates = gates.Gates(clock)
         self.ledger: collections.OrderedDict[
             str, asyncio.Future[calls.Outcome]
         ] = collections.OrderedDict()
@@ -115,11 +101,11 @@
             return self._refused(call, refusal)
         spec = self.replica.version.services[call.service]
         target = self.targets.found[(call.service, name)]
-        gate = self._gate(target, spec)
-        ticket = _ticket(call, spec, began)
-        if not await self._wait_turn(gate, ticket):
+        gate = self.gates.of(target, spec)
+        ticket = gates.ticket_for(call, spec, began)
+        if not await self.gates.wait_turn(gate, ticket):
             return self._refused(call, self._full(call, gate, name))
-        with self._slot(gate, ticket):
+        with self.gates.slot(gate, ticket):
             # The target may have begun to drain while the call waited.
             refusal = self._refusal(call, name)
             if refusal is not None:
@@ -156,7 +142,7 @@
         return None
 
     def _full(
-        self, call: calls.Call, gate: TargetGate, name: str
+        self, call: calls.Call, gate: gates.TargetGate, name: str
     ) -> calls.NotRun:
         now = self.clock.now()
         if call.budget_ms <= 0:
@@ -178,83 +164,9 @@
         )
         return dataclasses.replace(refusal, peer=self.replica.host)
 
-    def _gate(
-        self, target: local.LocalTarget, spec: config.ServiceSpec
-    ) -> TargetGate:
-        key = (target.service, target.name)
-        found = self.gates.get(key)
-        if found is None:
-            gate = admission.Gate(
-                target.slots, spec.limits.queue, self.clock.randomness
-            )
-            found = TargetGate(gate, {})
-            self.gates[key] = found
-        found.gate.slots = min(target.slots, target.connections)
-        found.gate.queue = spec.limits.queue
-        return found
-
-    async def _wait_turn(
-        self, gate: TargetGate, ticket: fairness.Ticket
-    ) -> bool:
-        """Wait for a slot; False if the call is refused instead."""
-        step = gate.gate.arrive(ticket, self.clock.now())
-        self._take_step(gate, step)
-        if ticket in step.started:
-            return True
-        if ticket in step.refused:
-            return False
-        turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        gate.waiters[ticket] = turn
-        # The gate refuses what it gives up on; this timer is for a target
-        # that has stopped altogether, when nothing happens at its gate.
-        timer = asyncio.get_running_loop().call_later(
-            ticket.deadline - self.clock.now(), _give_up, turn
-        )
-        try:
-            may_run = await turn
-        except asyncio.CancelledError:
-            if turn.done() and not turn.cancelled() and turn.result():
-                self._free(gate, ticket)
-            gate.gate.withdraw(ticket)
-            raise
-        finally:
-            timer.cancel()
-            gate.waiters.pop(ticket, None)
-        if not may_run:
-            gate.gate.withdraw(ticket)
-        return may_run
-
-    @contextlib.contextmanager
-    def _slot(
-        self, gate: TargetGate, ticket: fairness.Ticket
-    ) -> Iterator[None]:
-        try:
-            yield
-        finally:
-            self._free(gate, ticket)
-
-    def _free(self, gate: TargetGate, ticket: fairness.Ticket) -> None:
-        self._take_step(gate, gate.gate.finish(ticket, self.clock.now()))
-
-    def _take_step(self, gate: TargetGate, step: admission.Step) -> None:
-        for ticket in step.refused:
-            turn = gate.waiters.get(ticket)
-            if turn is not None and not turn.done():
-                turn.set_result(False)
-        for ticket in step.started:
-            turn = gate.waiters.get(ticket)
-            if turn is None:
-                continue
-            if turn.done():
-                # Given up on or gone in this same turn of the loop.
-                self._free(gate, ticket)
-            else:
-                turn.set_result(True)
-
     def load_of(self, service: str, name: str) -> float:
         """Return what runs and waits at a target, per slot."""
-        found = self.gates.get((service, name))
-        return found.gate.load() if found is not None else 0.0
+        return self.gates.load_of((service, name))
 
     async def _dispatch(
         self,
@@ -338,11 +250,7 @@
 
     def forget(self) -> None:
         """Drop what is kept of targets that are gone for good."""
-        for key, held in tuple(self.gates.items()):
-            gate = held.gate
-            if key not in self.targets.found and not gate.running:
-                if not gate.waiting:
-                    del self.gates[key]
+        self.gates.forget(self.targets.found)
         for key in tuple(self.crashed_at):
             if key not in self.targets.found:
                 del self.crashed_at[key]
@@ -351,26 +259,6 @@
         return calls.OutcomeUnknown(detail, self.replica.host)
 
 
-def _ticket(
-    call: calls.Call, spec: config.ServiceSpec, now: float
-) -> fairness.Ticket:
-    # The idempotent calls of a service of long jobs are its status reads.
-    long = spec.work_class is config.WorkClass.LONG and not call.idempotent
-    work_class = config.WorkClass.LONG if long else config.WorkClass.SHORT
-    return fairness.Ticket(
-        caller=call.caller,
-        key=call.key or call.path,
-        work_class=work_class,
-        arrived=now,
-        deadline=now + call.budget_ms / 1000,
-    )
-
-
-def _give_up(turn: asyncio.Future[bool]) -> None:
-    if not turn.done():
-        turn.set_result(False)
-
-
 def _for_target(call: calls.Call, left_ms: int) -> calls.Call:
     """Return the call with the headers that a target is to see."""
     added = [
--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -31,6 +31,8 @@
 
 MAX_DEPTH = 10
 MAX_BODY_BYTES = 16_777_216
+BODY_TIMEOUT_S = 60.0
+"""Time for sending a body; 16 MB need 2.3 Mbit/s."""
 KEY_HEADER = 'Idempotency-Key'
 FROM_HEADER = 'Peridot-From'
 CALLER_HEADER = 'Peridot-Caller'
@@ -379,7 +381,10 @@
     :raises errors.PeridotError: the port is taken.
     """
     server = httpserver.HTTPServer(
-        ingress, max_body_size=MAX_BODY_BYTES, idle_connection_timeout=300
+        ingress,
+        max_body_size=MAX_BODY_BYTES,
+        idle_connection_timeout=300,
+        body_timeout=BODY_TIMEOUT_S,
     )
     sockets = peers.bind(address, port, setting)
     server.add_sockets(sockets)
--- a/src/peridotpost/calls/peers.py
+++ b/src/peridotpost/calls/peers.py
@@ -24,6 +24,9 @@
 from peridotpost.model import errors
 
 CONNECT_S = 0.5
+RETURN_MS = 200
+"""When to come back after a failed connection: by then the table has lost
+a host that left, and a lost packet was sent again."""
 ANSWER_GRACE_S = 0.25
 """Time beyond the call's own budget before its stream is given up on."""
 
@@ -82,7 +85,14 @@
 
     async def run(self, call: calls.Call, target: str) -> calls.Outcome:
         """Have the peer run `call`; cancelling tells the peer."""
-        assert self.stream is not None
+        if self.stream is None or self.stream.closed():
+            # Closed since it was chosen: nothing was written.
+            return calls.NotRun(
+                calls.NotRunReason.UNREACHABLE,
+                'its stream closed before the call was sent',
+                RETURN_MS,
+                self.peer,
+            )
         number = next(self.numbers)
         outcome: asyncio.Future[calls.Outcome] = (
             asyncio.get_running_loop().create_future()
@@ -175,7 +185,7 @@
             return calls.NotRun(
                 calls.NotRunReason.UNREACHABLE,
                 f'no connection: {error or "timeout"}',
-                200,
+                RETURN_MS,
                 peer,
             )
         return await stream.run(call, target)
--- a/testing/test_caller_contract.py
+++ b/testing/test_caller_contract.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from peridotpost.calls import ingress
 from peridotpost.standins import target as standin
 from testing import callpath
 
@@ -367,10 +368,55 @@
         assert host.counts.totals['guard.deadline'] == 0
         assert target.counts['cancelled'] == cancelled
         assert target.counts['ran'] == ran
-        for gate in host.guard.gates.values():
+        for gate in host.guard.gates.held.values():
             assert gate.gate.running == gate.gate.waiting == 0
 
 
+async def test_caller_that_leaves_while_its_call_waits_for_a_slot() -> None:
+    """Nobody is left to answer: its place in the queue goes to others."""
+    async with path(slots=1) as (node, target):
+        node.announce('read', target.settings.port, slots=1)
+        async with contextlib.AsyncExitStack() as stack:
+            callers = [
+                await stack.enter_async_context(callpath.caller(node.port))
+                for _ in range(3)
+            ]
+            gates = node.guard.gates.held
+            for number, caller in enumerate(callers):
+                await caller.send(
+                    callpath.request(
+                        'read', 'GET', '/', b'', 'Standin-Work-Ms: 150'
+                    )
+                )
+                await callpath.until(
+                    lambda: (
+                        sum(one.gate.waiting for one in gates.values())
+                        == number
+                    ),
+                    'it waits',
+                )
+            callers[1].writer.close()
+            await callpath.until(
+                lambda: next(iter(gates.values())).gate.waiting == 1, 'gone'
+            )
+            assert (await callers[0].reply()).status == 200
+            assert (await callers[2].reply()).status == 200
+        assert target.counts['ran'] == 2
+        assert target.counts['cancelled'] == 0
+
+
+async def test_sender_that_stops_in_the_middle_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A body that never ends must not hold its memory for good."""
+    monkeypatch.setattr(ingress, 'BODY_TIMEOUT_S', 0.05)
+    async with path() as (node, target):
+        async with callpath.caller(node.port) as caller:
+            await caller.send(callpath.request('read', 'PUT', '/', b'xy')[:-1])
+            assert await caller.ended()
+        assert target.counts['ran'] == 0
+
+
 async def test_fault_of_ours_is_answered_as_unknown(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/testing/test_target_contract.py
+++ b/testing/test_target_contract.py
@@ -201,7 +201,7 @@
         # A single target: there is no other to try, and the request is
         # written once only.
         assert len(target.requests) <= 1
-        assert node.guard.gates[(service, 't-h1')].gate.running == 0
+        assert node.guard.gates.held[(service, 't-h1')].gate.running == 0
 
 
 async def test_target_that_refuses_connections_is_withdrawn() -> None:
