--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -5,22 +5,19 @@
 never reaches a target in part.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 import random
 import uuid
 
-import eliot
-from tornado import http1connection
 from tornado import httpserver
 from tornado import httputil
-from tornado import iostream
 
 from peridotpost.calls import connections
 from peridotpost.calls import guard as guards
 from peridotpost.calls import peers
 from peridotpost.calls import problems
+from peridotpost.calls import requests
 from peridotpost.calls import router as routers
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
@@ -30,14 +27,12 @@
 from peridotpost.model import calls
 
 MAX_DEPTH = 10
-MAX_BODY_BYTES = 16_777_216
 BODY_TIMEOUT_S = 60.0
 """Time for sending a body; 16 MB need 2.3 Mbit/s."""
 KEY_HEADER = 'Idempotency-Key'
 FROM_HEADER = 'Peridot-From'
 CALLER_HEADER = 'Peridot-Caller'
 MAX_CALLER_LENGTH = 64
-MAX_DIGITS = 18
 UNKNOWN_BODY_BYTES = 65_536
 """Kept of a request to no known service, only to answer it."""
 MAX_KEY_LENGTH = 128
@@ -88,13 +83,18 @@
         self.randomness = randomness
         self.for_targets = for_targets
         self.in_flight = 0
+        self.held_bytes = 0
+
+    @property
+    def leaving(self) -> bool:
+        return self.myself.stage is own.Stage.LEAVING
 
     def start_request(
         self,
         server_conn: object,
         request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
-        return _Request(self, request_conn)
+        return requests.Request(self, request_conn)
 
     def new_request_id(self) -> str:
         return f'{self.randomness.getrandbits(64):016x}'
@@ -205,138 +205,6 @@
             )
 
 
-class _Request(httputil.HTTPMessageDelegate):
-    """Reads one request whole, then has it answered."""
-
-    def __init__(
-        self, ingress: Ingress, connection: httputil.HTTPConnection
-    ) -> None:
-        self.ingress = ingress
-        self.connection = connection
-        self.start: httputil.RequestStartLine | None = None
-        self.headers = httputil.HTTPHeaders()
-        self.chunks: list[bytes] = []
-        self.size = 0
-        self.limit = 0
-        self.refused = False
-        self.work: asyncio.Task[None] | None = None
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        assert isinstance(start_line, httputil.RequestStartLine)
-        self.start = start_line
-        self.headers = headers
-        self.limit = self.ingress.body_limit(headers)
-        declared = headers.get('Content-Length', '')
-        if declared.isdigit() and len(declared) < MAX_DIGITS:
-            self.size = int(declared)
-        if self.size <= self.limit:
-            self.size = 0
-        elif self.size > MAX_BODY_BYTES or 'Expect' in headers:
-            # Refused before its body is sent, or in the middle of one
-            # that is too long to be read to its end.
-            if isinstance(self.connection, http1connection.HTTP1Connection):
-                self.connection.set_max_body_size(self.size)
-            self.refused = True
-            request_id = self._request_id()
-            self._write(self._too_large(request_id), request_id)
-
-    def data_received(self, chunk: bytes) -> None:
-        # A body over the limit is read to its end, but not kept: a caller
-        # that is still sending would lose the answer to a reset.
-        self.size += len(chunk)
-        if self.size > self.limit:
-            self.chunks.clear()
-        else:
-            self.chunks.append(chunk)
-
-    def finish(self) -> None:
-        if self.refused:
-            return
-        self.ingress.in_flight += 1
-        self.work = asyncio.ensure_future(self._serve())
-        self.work.add_done_callback(self._served)
-        # The delegate's own `on_connection_close` is only called while a
-        # request is read; without this a caller that leaves while it
-        # waits goes unnoticed and its call holds a slot to the end.
-        if isinstance(self.connection, http1connection.HTTP1Connection):
-            self.connection.set_close_callback(self.on_connection_close)
-
-    def on_connection_close(self) -> None:
-        if self.work is not None:
-            self.ingress.counts.add('ingress.caller-gone')
-            self.work.cancel()
-
-    def _served(self, work: asyncio.Task[None]) -> None:
-        self.ingress.in_flight -= 1
-        if not work.cancelled() and work.exception() is not None:
-            self.ingress.counts.add('ingress.failed')
-
-    async def _answer(self, request_id: str) -> calls.Answer:
-        assert self.start is not None
-        if self.size > self.limit:
-            return self._too_large(request_id)
-        context = getattr(self.connection, 'context', None)
-        try:
-            return await self.ingress.answer(
-                self.start,
-                self.headers,
-                b''.join(self.chunks),
-                request_id,
-                getattr(context, 'remote_ip', ''),
-            )
-        except Exception:
-            # A fault of ours must not leave the caller without a word; the
-            # call may be under way, so the word is "unknown".
-            self.ingress.counts.add('ingress.failed')
-            eliot.write_traceback()
-            unknown = calls.OutcomeUnknown('the daemon failed on this call')
-            return problems.to_answer(unknown, request_id)
-
-    def _too_large(self, request_id: str) -> calls.Answer:
-        self.ingress.counts.add('ingress.refused.too-large')
-        refusal = calls.NotRun(
-            calls.NotRunReason.TOO_LARGE,
-            f'the body is over {self.limit} bytes',
-        )
-        return problems.to_answer(refusal, request_id)
-
-    def _request_id(self) -> str:
-        given = self.headers.get(guards.REQUEST_ID_HEADER, '')
-        return given[:64] or self.ingress.new_request_id()
-
-    async def _serve(self) -> None:
-        request_id = self._request_id()
-        answer = await self._answer(request_id)
-        with contextlib.suppress(iostream.StreamClosedError):
-            await self._write(answer, request_id)
-
-    def _write(
-        self, answer: calls.Answer, request_id: str
-    ) -> asyncio.Future[None]:
-        assert self.start is not None
-        headers = httputil.HTTPHeaders()
-        for header in answer.headers:
-            headers.add(header.name, header.value)
-        headers[guards.REQUEST_ID_HEADER] = request_id
-        if self.ingress.myself.stage is own.Stage.LEAVING:
-            headers['Connection'] = 'close'
-        bodiless = self.start.method == 'HEAD' or answer.status in (204, 304)
-        if not bodiless:
-            headers['Content-Length'] = str(len(answer.body))
-        line = httputil.ResponseStartLine(
-            'HTTP/1.1', answer.status, answer.reason
-        )
-        written = self.connection.write_headers(
-            line, headers, answer.body if not bodiless else None
-        )
-        self.connection.finish()
-        return written
-
-
 def _service(headers: httputil.HTTPHeaders) -> str:
     host = headers.get('Host', '')
     return host.partition(':')[0].partition('.')[0].lower()
@@ -347,7 +215,11 @@
     if raw is None:
         return default
     # int() itself raises beyond some thousand digits.
-    if not raw.isascii() or not raw.isdigit() or len(raw) > MAX_DIGITS:
+    if (
+        not raw.isascii()
+        or not raw.isdigit()
+        or len(raw) > requests.MAX_DIGITS
+    ):
         raise RefusedRequest(
             calls.NotRunReason.BAD_REQUEST, f'{name} is not a whole number'
         )
@@ -382,7 +254,7 @@
     """
     server = httpserver.HTTPServer(
         ingress,
-        max_body_size=MAX_BODY_BYTES,
+        max_body_size=requests.MAX_BODY_BYTES,
         idle_connection_timeout=300,
         body_timeout=BODY_TIMEOUT_S,
     )
--- a/testing/callpath.py
+++ b/testing/callpath.py
@@ -61,6 +61,7 @@
     streams: peers.PeerStreams
     counts: counters.Counters
     clock: timers.TimerService
+    ingress: ingresses.Ingress
     port: int = 0
     egress_port: int = 0
 
@@ -121,23 +122,11 @@
         router = routers.Router(
             replica, guard, streams, clock, events, counts, zone, randomness
         )
-        one = Node(
-            host,
-            zone,
-            replica,
-            myself,
-            targets,
-            guard,
-            router,
-            streams,
-            counts,
-            clock,
-        )
         call_port = await stack.enter_async_context(
             peers.serving(peers.PeerServer(guard, counts), '127.0.0.1', 0)
         )
-        for for_targets in (False, True):
-            ingress = ingresses.Ingress(
+        both = [
+            ingresses.Ingress(
                 replica,
                 router,
                 myself,
@@ -147,18 +136,32 @@
                 randomness,
                 for_targets=for_targets,
             )
-            port = await stack.enter_async_context(
-                ingresses.serving(ingress, '127.0.0.1', 0, 'caller_port')
+            for for_targets in (False, True)
+        ]
+        ports = [
+            await stack.enter_async_context(
+                ingresses.serving(one, '127.0.0.1', 0, 'caller_port')
             )
-            if for_targets:
-                one.egress_port = port
-            else:
-                one.port = port
+            for one in both
+        ]
         myself.changed.subscribe(lambda record: _follow(replica, record))
         myself.set_ports(call_port, 0)
         replica.offer_member(myself.record, 'test')
         myself.stage = own.Stage.READY
-        yield one
+        yield Node(
+            host,
+            zone,
+            replica,
+            myself,
+            targets,
+            guard,
+            router,
+            streams,
+            counts,
+            clock,
+            both[0],
+            *ports,
+        )
 
 
 def _follow(replica: replicas.Replica, record: members.MemberRecord) -> None:
--- a/testing/test_caller_contract.py
+++ b/testing/test_caller_contract.py
@@ -8,6 +8,7 @@
 import pytest
 
 from peridotpost.calls import ingress
+from peridotpost.calls import requests
 from peridotpost.standins import target as standin
 from testing import callpath
 
@@ -417,6 +418,41 @@
         assert target.counts['ran'] == 0
 
 
+async def test_bodies_held_together_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Many callers send large bodies at once, slowly.
+
+    What does not fit is refused with a time to come back, and what was
+    held is given back when its callers have their answers or are gone.
+    """
+    monkeypatch.setattr(requests, 'MAX_HELD_BYTES', 1500)
+    async with path() as (node, target):
+        async with (
+            callpath.caller(node.port) as first,
+            callpath.caller(node.port) as gone,
+            callpath.caller(node.port) as second,
+        ):
+            body = b'x' * 1000
+            raw = callpath.request('read', 'PUT', '/', body)
+            await gone.send(raw[:-500])
+            await callpath.until(lambda: held(node) == 500, 'held')
+            await first.send(raw[:-1])
+            await callpath.until(lambda: held(node) == 1499, 'held')
+            reply = await second.ask('read', 'PUT', '/', body)
+            assert (reply.status, reply.word) == (503, 'not-run')
+            assert reply.header('Retry-After') == '1'
+            gone.writer.close()
+            await first.send(raw[-1:])
+            assert (await first.reply()).status == 200
+            await callpath.until(lambda: held(node) == 0, 'given back')
+        assert target.counts['ran'] == 1
+
+
+def held(node: callpath.Node) -> int:
+    return node.ingress.held_bytes
+
+
 async def test_fault_of_ours_is_answered_as_unknown(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
