Tell a target that is gone from a host that cannot be reached

Cause: both were 'unreachable', so that two targets of a far zone which refused connections had that whole zone left out, and a refusal from a reachable host did not clear a zone.

--- a/src/peridotpost/calls/guard.py
+++ b/src/peridotpost/calls/guard.py
@@ -203,7 +203,7 @@
             return self._refused(
                 call,
                 calls.NotRun(
-                    calls.NotRunReason.UNREACHABLE,
+                    calls.NotRunReason.TARGET_GONE,
                     f'{target.name!r} refuses connections',
                     100,
                 ),
--- a/src/peridotpost/decisions/ejection.py
+++ b/src/peridotpost/decisions/ejection.py
@@ -50,7 +50,9 @@
     GOOD = 'good'
     FAILED = 'failed'
     LOST = 'lost'
+    """The target took the call, or refused the connection."""
     UNREACHABLE = 'unreachable'
+    """Its host's daemon could not be reached."""
     SILENT = 'silent'
     """Says nothing: a refusal with good reason."""
 
@@ -63,6 +65,9 @@
         return Verdict.LOST
     if outcome.reason is calls.NotRunReason.UNREACHABLE:
         return Verdict.UNREACHABLE
+    if outcome.reason is calls.NotRunReason.TARGET_GONE:
+        # Its guard said so: the host and its zone can be reached.
+        return Verdict.LOST
     return Verdict.SILENT
 
 
@@ -123,12 +128,12 @@
         :param others: keys of the same service's other targets; gone
             through only when the call failed.
         """
+        self._note_zone(subject, verdict, now)
         if verdict is Verdict.SILENT:
             record = self.records.get(subject.key)
             if record is not None:
                 record.trial_since = None
             return
-        self._note_zone(subject, verdict, now)
         record = self.records.get(subject.key)
         if record is None:
             if verdict is Verdict.GOOD:
--- a/src/peridotpost/decisions/retry.py
+++ b/src/peridotpost/decisions/retry.py
@@ -37,6 +37,7 @@
         calls.NotRunReason.FULL,
         calls.NotRunReason.DRAINING,
         calls.NotRunReason.UNREACHABLE,
+        calls.NotRunReason.TARGET_GONE,
         calls.NotRunReason.NO_TARGET,
         calls.NotRunReason.NOT_READY,
     }
--- a/src/peridotpost/model/calls.py
+++ b/src/peridotpost/model/calls.py
@@ -55,6 +55,7 @@
     DRAINING = 'draining'
     DEADLINE = 'deadline'
     UNREACHABLE = 'unreachable'
+    TARGET_GONE = 'target-gone'
     NOT_READY = 'not-ready'
     BAD_KEY = 'bad-key'
     BAD_REQUEST = 'bad-request'
