--- a/src/peridotpost/calls/frames.py
+++ b/src/peridotpost/calls/frames.py
@@ -66,6 +66,12 @@
     incident: str
 
 
+class HeardFrame(msgspec.Struct, tag='heard', array_like=True, frozen=True):
+    """The crash told of under `number` is taken into account from now."""
+
+    number: int
+
+
 Frame = (
     CallFrame
     | CancelFrame
@@ -73,6 +79,7 @@
     | NotRunFrame
     | UnknownFrame
     | CrashFrame
+    | HeardFrame
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/src/peridotpost/calls/peers.py
+++ b/src/peridotpost/calls/peers.py
@@ -27,6 +27,7 @@
 RETURN_MS = 200
 """When to come back after a failed connection: by then the table has lost
 a host that left, and a lost packet was sent again."""
+TELL_S = 0.5
 ANSWER_GRACE_S = 0.25
 """Time beyond the call's own budget before its stream is given up on."""
 
@@ -40,6 +41,15 @@
     load: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A request, by its fingerprints, crashed a target."""
+
+    names: tuple[str, ...]
+    target: str
+    incident: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
     """A call on a stream whose outcome has not come."""
@@ -62,6 +72,7 @@
         self.reported = reported
         self.numbers = itertools.count(1)
         self.waiting: dict[int, Waiting] = {}
+        self.telling: dict[int, asyncio.Future[None]] = {}
         self.stream: iostream.IOStream | None = None
         self.reading: asyncio.Task[None] | None = None
 
@@ -114,6 +125,28 @@
         finally:
             self.waiting.pop(number, None)
 
+    async def tell(self, crash: CrashReport) -> bool:
+        """Tell the peer of a crash; False if it has not heard in time."""
+        if self.stream is None or self.stream.closed():
+            return False
+        number = next(self.numbers)
+        heard: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.telling[number] = heard
+        frame = frames.CrashFrame(
+            number, crash.names, crash.target, crash.incident
+        )
+        try:
+            self.stream.write(frames.encode(frame))
+            async with asyncio.timeout(TELL_S):
+                await heard
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            del self.telling[number]
+
     def _lost(self, detail: str) -> calls.OutcomeUnknown:
         self.counts.add('peer.lost')
         return calls.OutcomeUnknown(detail, self.peer)
@@ -139,6 +172,11 @@
                     one.outcome.set_result(self._lost('its stream closed'))
 
     def _take(self, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.HeardFrame):
+            heard = self.telling.get(frame.number)
+            if heard is not None and not heard.done():
+                heard.set_result(None)
+            return
         waiting = self.waiting.get(frame.number)
         if waiting is None or waiting.outcome.done():
             self.counts.add('peer.late')
@@ -191,15 +229,23 @@
         return await stream.run(call, target)
 
     async def tell(
-        self, address: str, port: int, peer: str, frame: frames.CrashFrame
+        self,
+        address: str,
+        port: int,
+        peer: str,
+        crash: CrashReport,
     ) -> None:
-        """Send a frame that has no answer; it may be lost."""
+        """Tell a daemon of a crash, and wait until it has heard.
+
+        A daemon that cannot be told in time goes without.
+        """
         try:
             stream = await self._stream(address, port, peer)
-            if stream.stream is not None:
-                await stream.stream.write(frames.encode(frame))
         except (OSError, TimeoutError, iostream.StreamClosedError):
             self.counts.add('peer.untold')
+            return
+        if not await stream.tell(crash):
+            self.counts.add('peer.untold')
 
     async def _stream(self, address: str, port: int, peer: str) -> PeerStream:
         key = (address, port)
@@ -271,6 +317,7 @@
             self.guard.heard_of_crash(
                 frame.names, frame.target, frame.incident
             )
+            stream.write(frames.encode(frames.HeardFrame(frame.number)))
         else:
             raise errors.CodecError(
                 'a frame that only a guard sends', step='frame.act'
--- a/src/peridotpost/calls/router.py
+++ b/src/peridotpost/calls/router.py
@@ -4,7 +4,6 @@
 import dataclasses
 import random
 
-from peridotpost.calls import frames
 from peridotpost.calls import guard as guards
 from peridotpost.calls import peers
 from peridotpost.decisions import choice
@@ -153,17 +152,19 @@
         """Have every guard of the service know the request.
 
         The next attempt may come by way of any daemon, and guards are
-        where all of them meet.  The caller waits for it, half a second at
-        most, since it may send again as soon as it has its answer.
+        where all of them meet.  The caller waits until they have heard, a
+        second at most, since it may send again as soon as it has its
+        answer: told without a wait, a third target went down in one of
+        four runs on a loaded machine.
         """
         names = poison.fingerprints(call)
         self.guard.heard_of_crash(names, target, incident)
-        frame = frames.CrashFrame(0, names, target, incident)
+        crash = peers.CrashReport(names, target, incident)
         told = {one.host: one for one in self._endpoints(call)}
         told.pop(self.replica.host, None)
         await asyncio.gather(
             *(
-                self.streams.tell(one.address, one.call_port, one.host, frame)
+                self.streams.tell(one.address, one.call_port, one.host, crash)
                 for one in told.values()
             )
         )
