Try a target again that looked too slow for every deadline

Cause: the gate refused whatever the estimate said would be late, also when nothing ran. A target that had been slower than the deadline, or a service with a deadline under the first guess of 20 ms, was refused for good, since only a run changes the estimate. Found by reading; the test failed for both cases before and passes now (share in time at the end 0 before).

--- a/src/peridotpost/decisions/admission.py
+++ b/src/peridotpost/decisions/admission.py
@@ -9,6 +9,8 @@
 - A request waits only if its turn can come before its deadline at the
   present service time; else it is refused at once.  One that waits and can
   no longer make it is refused the moment that this is known.
+- By the estimate alone a target that was slow would get no call ever
+  again; one at a time runs, whatever the estimate says.
 - While a class's queue empties now and then, it is served in order.
   When it has not emptied for ``OVERLOAD_AFTER_S`` (and two service times),
   the newest is served first and at most one request waits for each slot: the
@@ -113,7 +115,7 @@
         state = self.classes[ticket.work_class]
         state.last_seen = now
         refused = self._hopeless(now)
-        if now + state.service_s > ticket.deadline:
+        if not self._worth_running(state, ticket, now):
             return Step((), (*refused, ticket))
         if not state.queue.size and self._may_start(ticket.work_class, now):
             self._start(ticket, now, self.waiting > 0)
@@ -172,6 +174,15 @@
             return self.classes[SHORT].service_s
         return sum(count * time for count, time in weights) / total
 
+    def _worth_running(
+        self, state: ClassState, ticket: fairness.Ticket, now: float
+    ) -> bool:
+        if now + state.service_s <= ticket.deadline:
+            return True
+        # By the estimate it will be late; yet one at a time is run, since
+        # the estimate of a target that was slow would else never change.
+        return not state.running and now < ticket.deadline
+
     def _can_make_it(
         self, ticket: fairness.Ticket, overloaded: bool, now: float
     ) -> bool:
--- a/testing/test_admission.py
+++ b/testing/test_admission.py
@@ -72,6 +72,32 @@
     assert gateload.quantile(gated, gateload.REFUSED, 0.99) <= 0.2
 
 
+@pytest.mark.parametrize(
+    ('work_s', 'deadline_s'),
+    [
+        pytest.param(3.0, 1.0, id='was-slower-than-the-deadline'),
+        pytest.param(0.001, 0.01, id='deadline-below-the-first-guess'),
+    ],
+)
+def test_target_that_looked_too_slow_is_tried_again(
+    work_s: float, deadline_s: float
+) -> None:
+    """A target was slow for a while, or was never measured.
+
+    By the estimate no call can be in time; if none were run, the estimate
+    would stay as it is, and the service be down for good.
+    """
+    slow = [
+        gateload.Request(at / 10, work_s, 10.0 if work_s > 1 else deadline_s)
+        for at in range(50)
+    ]
+    later = gateload.poisson(200, 10, 1, work_s=0.001, deadline_s=deadline_s)
+    later = [dataclasses.replace(one, at=20 + one.at) for one in later]
+    received = gateload.drive(gate(), [*slow, *later])
+    last = [one for one in received if one.request.at > 25]
+    assert gateload.share(last, gateload.IN_TIME) >= 0.99
+
+
 def test_newest_first_keeps_answers_fresh_under_overload(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
