--- a/src/peridotpost/calls/frames.py
+++ b/src/peridotpost/calls/frames.py
@@ -4,6 +4,7 @@
 gRPC was measured at three times the cost of this for each call.
 """
 
+from collections.abc import AsyncIterator
 import struct
 
 import msgspec
@@ -16,6 +17,7 @@
 
 LENGTH = struct.Struct('>I')
 MAX_FRAME_BYTES = 20 * 1024 * 1024
+CHUNK_BYTES = 65_536
 
 
 class CallFrame(msgspec.Struct, tag='call', array_like=True, frozen=True):
@@ -66,6 +68,12 @@
     incident: str
 
 
+class HeardFrame(msgspec.Struct, tag='heard', array_like=True, frozen=True):
+    """The crash told of under `number` is taken into account from now."""
+
+    number: int
+
+
 class OwnedCallFrame(
     msgspec.Struct, tag='owned', array_like=True, frozen=True
 ):
@@ -115,6 +123,7 @@
     | UnknownFrame
     | CrashFrame
     | OwnerFrame
+    | HeardFrame
 )
 
 encoder = msgspec.msgpack.Encoder()
@@ -131,24 +140,42 @@
     return LENGTH.pack(len(body)) + body
 
 
-async def read(stream: iostream.IOStream, peer: str) -> Frame:
-    """Read one frame.
+async def arriving(
+    stream: iostream.IOStream, peer: str
+) -> AsyncIterator[Frame]:
+    """Give frames as they come, all those of one read without a wait.
 
-    :raises errors.CodecError: it is too long or cannot be read.
+    :raises errors.CodecError: one is too long or cannot be read.
     :raises iostream.StreamClosedError: the peer is gone.
     """
-    (length,) = LENGTH.unpack(await stream.read_bytes(LENGTH.size))
-    if length > MAX_FRAME_BYTES:
-        raise errors.CodecError(
-            f'a frame of {length} bytes', step='frame.read', peer=peer
-        )
-    body = await stream.read_bytes(length)
+    held = bytearray()
+    while True:
+        held += await stream.read_bytes(CHUNK_BYTES, partial=True)
+        start = 0
+        while len(held) - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(held, start)
+            if length > MAX_FRAME_BYTES:
+                raise errors.CodecError(
+                    f'a frame of {length} bytes', step='frame.read', peer=peer
+                )
+            end = start + LENGTH.size + length
+            if len(held) < end:
+                break
+            yield _decode(memoryview(held)[end - length : end], peer)
+            start = end
+        del held[:start]
+
+
+def _decode(body: memoryview, peer: str) -> Frame:
     try:
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.CodecError(
             str(error), step='frame.read', peer=peer
         ) from error
+    finally:
+        # A view keeps the buffer from being cut.
+        body.release()
 
 
 def to_frame(number: int, outcome: calls.Outcome, load: float) -> Frame:
--- a/src/peridotpost/calls/peers.py
+++ b/src/peridotpost/calls/peers.py
@@ -26,6 +26,10 @@
 from peridotpost.model import errors
 
 CONNECT_S = 0.5
+RETURN_MS = 200
+"""When to come back after a failed connection: by then the table has lost
+a host that left, and a lost packet was sent again."""
+TELL_S = 0.5
 ANSWER_GRACE_S = 0.25
 """Time beyond the call's own budget before its stream is given up on."""
 
@@ -39,6 +43,15 @@
     load: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A request, by its fingerprints, crashed a target."""
+
+    names: tuple[str, ...]
+    target: str
+    incident: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
     """A call on a stream whose outcome has not come."""
@@ -61,6 +74,7 @@
         self.reported = reported
         self.numbers = itertools.count(1)
         self.waiting: dict[int, Waiting] = {}
+        self.telling: dict[int, asyncio.Future[None]] = {}
         self.stream: iostream.IOStream | None = None
         self.reading: asyncio.Task[None] | None = None
 
@@ -84,6 +98,14 @@
 
     async def run(self, call: calls.Call, target: str) -> calls.Outcome:
         """Have the peer run `call`; cancelling tells the peer."""
+        if self.stream is None or self.stream.closed():
+            # Closed since it was chosen: nothing was written.
+            return calls.NotRun(
+                calls.NotRunReason.UNREACHABLE,
+                'its stream closed before the call was sent',
+                RETURN_MS,
+                self.peer,
+            )
         return await self.exchange(
             lambda number: frames.CallFrame(number, call, target),
             call.budget_ms / 1000 + ANSWER_GRACE_S,
@@ -108,7 +130,8 @@
         self.waiting[number] = Waiting(target, outcome)
         try:
             self.stream.write(frames.encode(frame_of(number)))
-            return await asyncio.wait_for(outcome, wait_s)
+            async with asyncio.timeout(wait_s):
+                return await outcome
         except iostream.StreamClosedError:
             return self._lost('its stream closed')
         except TimeoutError:
@@ -120,6 +143,28 @@
         finally:
             self.waiting.pop(number, None)
 
+    async def tell(self, crash: CrashReport) -> bool:
+        """Tell the peer of a crash; False if it has not heard in time."""
+        if self.stream is None or self.stream.closed():
+            return False
+        number = next(self.numbers)
+        heard: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.telling[number] = heard
+        frame = frames.CrashFrame(
+            number, crash.names, crash.target, crash.incident
+        )
+        try:
+            self.stream.write(frames.encode(frame))
+            async with asyncio.timeout(TELL_S):
+                await heard
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            del self.telling[number]
+
     def _lost(self, detail: str) -> calls.OutcomeUnknown:
         self.counts.add('peer.lost')
         return calls.OutcomeUnknown(detail, self.peer)
@@ -132,8 +177,8 @@
 
     async def _read(self, stream: iostream.IOStream) -> None:
         try:
-            while True:
-                self._take(await frames.read(stream, self.peer))
+            async for frame in frames.arriving(stream, self.peer):
+                self._take(frame)
         except iostream.StreamClosedError:
             pass
         except errors.CodecError:
@@ -145,6 +190,11 @@
                     one.outcome.set_result(self._lost('its stream closed'))
 
     def _take(self, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.HeardFrame):
+            heard = self.telling.get(frame.number)
+            if heard is not None and not heard.done():
+                heard.set_result(None)
+            return
         waiting = self.waiting.get(frame.number)
         if waiting is None or waiting.outcome.done():
             self.counts.add('peer.late')
@@ -191,21 +241,29 @@
             return calls.NotRun(
                 calls.NotRunReason.UNREACHABLE,
                 f'no connection: {error or "timeout"}',
-                200,
+                RETURN_MS,
                 peer,
             )
         return await stream.run(call, target)
 
     async def tell(
-        self, address: str, port: int, peer: str, frame: frames.CrashFrame
+        self,
+        address: str,
+        port: int,
+        peer: str,
+        crash: CrashReport,
     ) -> None:
-        """Send a frame that has no answer; it may be lost."""
+        """Tell a daemon of a crash, and wait until it has heard.
+
+        A daemon that cannot be told in time goes without.
+        """
         try:
             stream = await self._stream(address, port, peer)
-            if stream.stream is not None:
-                await stream.stream.write(frames.encode(frame))
         except (OSError, TimeoutError, iostream.StreamClosedError):
             self.counts.add('peer.untold')
+            return
+        if not await stream.tell(crash):
+            self.counts.add('peer.untold')
 
     async def reach(
         self, address: str, port: int, peer: str
@@ -264,8 +322,7 @@
         stream.set_nodelay(True)
         self.open_streams.add(stream)
         try:
-            while True:
-                frame = await frames.read(stream, str(address))
+            async for frame in frames.arriving(stream, str(address)):
                 self._act(frame, stream, running)
         except iostream.StreamClosedError:
             pass
@@ -295,6 +352,7 @@
             self.guard.heard_of_crash(
                 frame.names, frame.target, frame.incident
             )
+            stream.write(frames.encode(frames.HeardFrame(frame.number)))
         else:
             raise errors.CodecError(
                 'a frame that only a guard sends', step='frame.act'
--- a/src/peridotpost/decisions/admission.py
+++ b/src/peridotpost/decisions/admission.py
@@ -9,6 +9,8 @@
 - A request waits only if its turn can come before its deadline at the
   present service time; else it is refused at once.  One that waits and can
   no longer make it is refused the moment that this is known.
+- By the estimate alone a target that was slow would get no call ever
+  again; one at a time runs, whatever the estimate says.
 - While a class's queue empties now and then, it is served in order.
   When it has not emptied for ``OVERLOAD_AFTER_S`` (and two service times),
   the newest is served first and at most one request waits for each slot: the
@@ -89,17 +91,20 @@
         self.queue = queue
         self.randomness = randomness
         self.classes = {one: ClassState() for one in config.WorkClass}
+        self.states = tuple(self.classes.values())
         self.shares = fairness.Shares()
         self.owed = 0.0
         self.owed_at = 0.0
 
     @property
     def running(self) -> int:
-        return sum(one.running for one in self.classes.values())
+        short, long = self.states
+        return short.running + long.running
 
     @property
     def waiting(self) -> int:
-        return sum(one.queue.size for one in self.classes.values())
+        short, long = self.states
+        return short.queue.size + long.queue.size
 
     def load(self) -> float:
         """Return what runs and waits, as a share of the slots."""
@@ -110,10 +115,10 @@
         state = self.classes[ticket.work_class]
         state.last_seen = now
         refused = self._hopeless(now)
-        if now + state.service_s > ticket.deadline:
+        if not self._worth_running(state, ticket, now):
             return Step((), (*refused, ticket))
         if not state.queue.size and self._may_start(ticket.work_class, now):
-            self._start(ticket, now)
+            self._start(ticket, now, self.waiting > 0)
             return Step((ticket,), refused)
         overloaded = self.overloaded(ticket.work_class, now)
         if not self._can_make_it(ticket, overloaded, now):
@@ -169,6 +174,15 @@
             return self.classes[SHORT].service_s
         return sum(count * time for count, time in weights) / total
 
+    def _worth_running(
+        self, state: ClassState, ticket: fairness.Ticket, now: float
+    ) -> bool:
+        if now + state.service_s <= ticket.deadline:
+            return True
+        # By the estimate it will be late; yet one at a time is run, since
+        # the estimate of a target that was slow would else never change.
+        return not state.running and now < ticket.deadline
+
     def _can_make_it(
         self, ticket: fairness.Ticket, overloaded: bool, now: float
     ) -> bool:
@@ -185,9 +199,11 @@
 
     def _hopeless(self, now: float) -> tuple[fairness.Ticket, ...]:
         """Take out those whose run could not end in time any more."""
+        if not self.waiting:
+            return ()
         found = [
             one
-            for state in self.classes.values()
+            for state in self.states
             for one in state.queue.tickets()
             if now + state.service_s > one.deadline
         ]
@@ -215,20 +231,22 @@
         self._note_emptied()
 
     def _note_emptied(self) -> None:
-        for state in self.classes.values():
+        for state in self.states:
             if not state.queue.size:
                 state.busy_since = None
         if not self.waiting:
             self.shares.settle()
 
     def _fill(self, now: float) -> tuple[fairness.Ticket, ...]:
+        if not self.waiting:
+            return ()
         started: list[fairness.Ticket] = []
         while (work_class := self._next_class(now)) is not None:
             queue = self.classes[work_class].queue
             newest_first = self.overloaded(work_class, now)
             ticket = queue.pop(self.shares, self.slots, newest_first)
             assert ticket is not None
-            self._start(ticket, now)
+            self._start(ticket, now, True)
             started.append(ticket)
         self._note_emptied()
         return tuple(started)
@@ -265,7 +283,9 @@
             return 0
         return max(1, int(self.slots * RESERVED_SHARE))
 
-    def _start(self, ticket: fairness.Ticket, now: float) -> None:
+    def _start(
+        self, ticket: fairness.Ticket, now: float, contended: bool
+    ) -> None:
         ticket.started = now
         self.classes[ticket.work_class].running += 1
-        self.shares.start(ticket)
+        self.shares.start(ticket, contended)
