Check the words that callers get against what targets ran

1000 calls, misbehaving targets, callers that hang up: every 200 is the answer to its own request, nothing told as not run has a run, no non-idempotent call ran twice.

--- /dev/null
+++ b/testing/test_call_invariants.py
@@ -0,0 +1,122 @@
+"""What must hold for every call, whatever targets and callers do.
+
+Two daemons that take calls in, three with targets that misbehave at random,
+callers that hang up or have no time: each call gets the whole answer to
+its own request or a definite word, and the word is true.
+"""
+
+import asyncio
+import collections
+import contextlib
+import random
+
+import pytest
+
+from testing import callpath
+
+CALLS = 250
+SHED = b'HTTP/1.1 503 Full\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n'
+
+
+class Misbehaving:
+    """Targets that share a record of what they ran."""
+
+    def __init__(self, randomness: random.Random) -> None:
+        self.randomness = randomness
+        self.runs: collections.Counter[str] = collections.Counter()
+
+    async def serve(
+        self,
+        state: callpath.Scripted,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while True:
+            if self.randomness.random() < 0.05:
+                writer.transport.abort()
+                return
+            request = await state.read_request(reader)
+            path = request.split(b' ')[1]
+            act = self.randomness.random()
+            if act < 0.08:
+                writer.write(SHED)
+                continue
+            # Read whole is run, though no answer may come of it.
+            self.runs[path.decode()] += 1
+            head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(path)
+            answer = head + path
+            if act < 0.16:
+                return
+            if act < 0.24:
+                writer.write(answer[: self.randomness.randrange(len(answer))])
+                return
+            if act < 0.32:
+                await asyncio.sleep(0.06)
+            if act > 0.92:
+                answer += answer
+            writer.write(answer)
+
+
+@pytest.mark.parametrize('seed', range(4))
+async def test_every_word_is_true(seed: int) -> None:
+    randomness = random.Random(seed)
+    targets = Misbehaving(randomness)
+    told: dict[str, callpath.Reply] = {}
+
+    async def call(number: int, port: int) -> None:
+        service = randomness.choice(['read', 'write'])
+        path = f'/{service}/{number}'
+        headers = []
+        if randomness.random() < 0.2:
+            headers.append('Peridot-Timeout-Ms: 30')
+        await asyncio.sleep(randomness.random() / 2)
+        async with callpath.caller(port) as caller:
+            if randomness.random() < 0.1:
+                await caller.send(
+                    callpath.request(service, 'POST', path, b'x', *headers)
+                )
+                await asyncio.sleep(0.002)
+                return
+            told[path] = await caller.ask(
+                service, 'POST', path, b'x', *headers
+            )
+
+    async with contextlib.AsyncExitStack() as stack:
+        nodes = [
+            await stack.enter_async_context(callpath.node(f'h{number}', zone))
+            for number, zone in enumerate('ababa')
+        ]
+        for node in nodes[:3]:
+            server = await stack.enter_async_context(
+                callpath.scripted(targets.serve)
+            )
+            for service in ('read', 'write'):
+                node.announce(service, server.port)
+        for node in nodes:
+            node.meet(*nodes)
+        await asyncio.gather(
+            *(
+                call(number, nodes[2 + number % 3].port)
+                for number in range(CALLS)
+            )
+        )
+        for node in nodes:
+            await callpath.until(
+                lambda: node.guard.in_flight == 0,
+                'all ended',
+            )
+            for one in node.guard.gates.held.values():
+                assert one.gate.running == one.gate.waiting == 0
+            assert node.router.book.outstanding == {}
+    words = collections.Counter(reply.word for reply in told.values())
+    assert min(words.values()) > 0 and len(words) == 3, words
+    for path, reply in told.items():
+        if reply.word == 'not-run':
+            assert targets.runs[path] == 0, path
+        elif reply.word == 'answered' and reply.status == 200:
+            assert reply.body.decode() == path
+            assert targets.runs[path] >= 1
+        else:
+            assert reply.word == 'unknown' or reply.status == 503
+    for path, runs in targets.runs.items():
+        assert runs == 1 or path.startswith('/read'), path
