--- a/testing/gateload.py
+++ b/testing/gateload.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import heapq
@@ -22,6 +23,7 @@
 IN_TIME = 'in time'
 LATE = 'late'
 REFUSED = 'refused'
+MAX_SENDINGS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +34,7 @@
     caller: str = 'a'
     key: str = ''
     work_class: config.WorkClass = SHORT
+    attempt: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,8 +89,16 @@
     return found
 
 
-def drive(gate: GateUnderTest, requests: Iterable[Request]) -> list[Received]:
-    """Run all requests to their end and return what callers received."""
+def drive(
+    gate: GateUnderTest,
+    requests: Iterable[Request],
+    comes_back: Callable[[float], float] | None = None,
+) -> list[Received]:
+    """Run all requests to their end and return what callers received.
+
+    :param comes_back: seconds, at the time given, after which a refused
+        caller sends again, ``MAX_SENDINGS`` times at most; None for never.
+    """
     order = itertools.count()
     tickets: dict[fairness.Ticket, Request] = {}
     received: list[Received] = []
@@ -103,6 +114,12 @@
         for ticket in step.refused:
             one = tickets.pop(ticket)
             received.append(Received(one, REFUSED, now - one.at))
+            if comes_back is not None and one.attempt < MAX_SENDINGS:
+                at = now + comes_back(now)
+                again = dataclasses.replace(
+                    one, at=at, attempt=one.attempt + 1
+                )
+                heapq.heappush(events, (at, next(order), again))
 
     while events:
         now, _, event = heapq.heappop(events)
--- a/testing/test_admission.py
+++ b/testing/test_admission.py
@@ -192,6 +192,39 @@
     assert max(times) >= drain_ms
 
 
+@pytest.mark.parametrize(
+    'requests',
+    [
+        pytest.param(burst(600), id='burst'),
+        pytest.param(surge(2, 2.0), id='overload-2x-for-two-seconds'),
+        pytest.param(surge(5, 2.0), id='overload-5x-for-two-seconds'),
+    ],
+)
+def test_callers_who_come_back_when_told_are_served_with_few_refusals(
+    requests: list[gateload.Request],
+) -> None:
+    """Refused callers send again, up to ten times.
+
+    Told when, all are served, each refused about once; coming back every
+    50 ms they are refused in heaps, and many give up unserved.
+    """
+    told = gate()
+    by_us = gateload.drive(
+        told, requests, lambda now: told.retry_after_ms(now) / 1000
+    )
+    own = gateload.drive(gate(), requests, lambda now: 0.05)
+
+    def served(received: list[gateload.Received]) -> int:
+        return sum(one.word == gateload.IN_TIME for one in received)
+
+    def refused(received: list[gateload.Received]) -> int:
+        return sum(one.word == gateload.REFUSED for one in received)
+
+    assert served(by_us) >= 0.99 * len(requests)
+    assert served(by_us) >= served(own)
+    assert refused(by_us) <= refused(own) / 2
+
+
 def test_waiting_request_is_refused_once_it_cannot_make_it() -> None:
     """The target turns slow while a request waits.
 
