--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,7 @@
 	$(BIN)/mypy
 
 check: lint types test
+
+# About 12 minutes and 8 GB; measures, then rewrites docs/measures/.
+bench: env
+	BIN=$(BIN) bash bench/run.sh
--- a/bench/meshes.py
+++ b/bench/meshes.py
@@ -123,9 +123,13 @@
     directory: pathlib.Path,
     hosts_per_zone: int,
     *,
-    program: str = 'bench.observed',
+    announced: bool = True,
 ) -> AsyncIterator[Bench]:
-    """Start the platform and the daemons; end them all at the end."""
+    """Start the platform and the daemons; end them all at the end.
+
+    :param announced: play the targets' part in announcing themselves, so
+        that no process is needed for each of them.
+    """
     plan = mesh.plan_mesh(
         text,
         directory,
@@ -140,12 +144,16 @@
         started.start_platform()
         for number, host in enumerate(plan.hosts):
             started.start(
-                f'daemon-{host.host}', program, '--settings', host.settings
+                f'daemon-{host.host}',
+                'bench.observed',
+                '--settings',
+                host.settings,
             )
             if number % STARTED_AT_ONCE == STARTED_AT_ONCE - 1:
                 await asyncio.sleep(1.0)
         await bench.wait_joined()
-        announcing = asyncio.ensure_future(_announce_all(bench))
+        if announced:
+            announcing = asyncio.ensure_future(_announce_all(bench))
         yield bench
     finally:
         if announcing is not None:
--- a/testing/test_bench_bounds.py
+++ b/testing/test_bench_bounds.py
@@ -144,18 +144,25 @@
             assert total(ends.frames) <= 110
 
 
-async def test_facts_that_come_together_leave_together() -> None:
+async def test_facts_that_come_together_leave_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """A rack's loss costs each child one message.
 
     It is some forty records; sent one by one they would cost each of
     sixteen children forty messages.
     """
+    # Long enough that a stall of a busy machine cannot part the records.
+    monkeypatch.setattr(links, 'GATHER_S', 1.0)
     parent = fleets.full_replica('parent', config.EVERYTHING, 20)
     child = fleets.replica('child', LEAF)
     async with joined(parent, child) as ends:
         ends.frames.clear()
         for record in list(fleets.records(60))[20:]:
             parent.offer_member(record, 'another')
+            # Each record comes with a message of its own.
+            for _ in range(5):
+                await asyncio.sleep(0)
         await ends.until_idle()
         assert len(ends.frames) == 1
 
@@ -350,7 +357,7 @@
             children[first] = children.get(first, 0) + 1
     relays = [host for host, place in places.items() if place.relay]
     assert len(relays) == 2
-    assert max(children.values()) <= tree.MAX_CHILDREN
+    assert max(children.values()) <= 32
     zones = [
         tree.ZoneRelays(f'zone-{n:02d}', (f'a{n}', f'b{n}'))
         for n in range(1, fleets.ZONES)
