--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -4,6 +4,8 @@
 the work itself costs, not how busy the machine is.
 """
 
+import asyncio
+import base64
 from collections.abc import Callable
 import json
 import pathlib
@@ -26,10 +28,12 @@
 from peridotpost.distribution import replica as replicas
 from peridotpost.distribution import wire
 from peridotpost.generated import control_pb2
+from peridotpost.membership import seeds
 from peridotpost.model import config
 from peridotpost.model import members
 from peridotpost.model import routing
 from peridotpost.platform import versions
+from peridotpost.standins import platform as platform_standin
 
 REPEATS = 7
 LEAF = config.Interest(ingress=True)
@@ -111,7 +115,9 @@
         'cpu_ms': {
             'compile_table_relay': cpu_ms(lambda: _compile(one)),
             'compile_table_leaf': cpu_ms(lambda: _compile(leaf)),
-            'plan_tree': cpu_ms(lambda: _plan(one)),
+            'plan_as_relay': cpu_ms(lambda: _plan(one, True)),
+            'plan_as_leaf': cpu_ms(lambda: _plan(one, False)),
+            'seeds_due': cpu_ms(lambda: _seeds_due(one)),
             'merge_one_record': cpu_ms(lambda: _merge(one, records[1])),
             'write_digest': cpu_ms(lambda: _digest(one).SerializeToString()),
             'answer_digest': cpu_ms(lambda: _answer(one, parsed)),
@@ -149,10 +155,18 @@
     routing.compile_table(one.version, one.fleet.live())
 
 
-def _plan(one: replicas.Replica) -> None:
-    """Do what a relay's plan does after a change of the fleet."""
+def _seeds_due(one: replicas.Replica) -> None:
+    """Do what each daemon does to know whether it keeps a seed record."""
+    hosts = one.fleet.live_hosts('zone-00')
+    tree.seed_hosts('zone-00', hosts, seeds.SEEDS_PER_ZONE)
+
+
+def _plan(one: replicas.Replica, relay: bool) -> None:
+    """Do what a daemon's plan does after a change of the fleet."""
     hosts = one.fleet.live_hosts('zone-00')
     tree.place_of(one.host, 'zone-00', hosts)
+    if not relay:
+        return
     for zone in one.fleet.zones():
         tree.relays_of(zone, one.fleet.live_hosts(zone))
 
@@ -181,6 +195,77 @@
     return round(used / 1024 / 1024, 2)
 
 
+async def join_costs(hosts: int) -> dict[str, float]:
+    """Return processor time and bytes of a fresh daemon's join."""
+    parent = fleets.full_replica('parent', config.EVERYTHING, hosts)
+    child = fleets.replica('child', LEAF)
+    frames: asyncio.Queue[control_pb2.Frame] = asyncio.Queue()
+    link = links.Link('child', parent, frames.put, parent.counts)
+    below = links.Link('parent', child, frames.put, child.counts)
+    hello = links.greeting(child, 1, 'zone-00')
+    began = time.process_time()
+    welcome = links.greeting(parent, 1, 'zone-00')
+    links.greet_with(link, hello)
+    sending = asyncio.ensure_future(link.run())
+    while link.dirty_config or link.dirty_hosts or frames.empty():
+        await asyncio.sleep(0.01)
+    at_parent = time.process_time() - began
+    sending.cancel()
+    began = time.process_time()
+    links.greet_with(below, welcome)
+    sizes = [welcome.ByteSize(), hello.ByteSize()]
+    while not frames.empty():
+        frame = frames.get_nowait()
+        sizes.append(frame.ByteSize())
+        below.receive(frame.facts)
+    assert len(child.fleet.records) == hosts
+    at_child = time.process_time() - began
+    rejoin = links.greeting(child, 1, 'zone-00')
+    again = links.Link('child', parent, frames.put, parent.counts)
+
+    def regreet() -> None:
+        links.greeting(parent, 1, 'zone-00')
+        links.greet_with(again, rejoin)
+
+    return {
+        'messages': len(sizes),
+        'bytes': sum(sizes),
+        'parent_cpu_ms': round(at_parent * 1000, 2),
+        'child_cpu_ms': round(at_child * 1000, 2),
+        'rejoin_bytes': 2 * rejoin.ByteSize(),
+        'rejoin_parent_cpu_ms': cpu_ms(regreet),
+    }
+
+
+def store_costs() -> dict[str, int]:
+    """Return the bytes of one read of all bootstrap records."""
+    count = fleets.ZONES * seeds.SEEDS_PER_ZONE
+    platform = platform_standin.Platform()
+    prefix = seeds.seeds_prefix('measured')
+    for record in fleets.records(count):
+        value = json.dumps(
+            {
+                'host': record.host,
+                'availability_zone': record.availability_zone,
+                'control_address': record.control_address,
+            }
+        )
+        key = f'{prefix}{record.availability_zone}/{record.host}'
+        platform.state.put(
+            key.encode(), value.encode(), 0, platform.state.revision + 1
+        )
+    answer = platform.answer(
+        'kv/range',
+        {'key': _base64(prefix), 'range_end': _base64(prefix[:-1] + '0')},
+    )
+    assert int(answer['count']) == count
+    return {'records': count, 'read_bytes': len(json.dumps(answer))}
+
+
+def _base64(key: str) -> str:
+    return base64.b64encode(key.encode()).decode()
+
+
 def version_costs() -> dict[str, float]:
     """Return processor times of one accepted version, in ms."""
     text = texts.mesh_text(fleets.SERVICES, fleets.ZONES)
@@ -220,6 +305,8 @@
         'circumstances': figures.circumstances(),
         'config_bytes': sizes(),
         'version_cpu_ms': version_costs(),
+        'bootstrap_read': store_costs(),
+        'join': asyncio.run(join_costs(fleets.HOSTS)),
         'fleet': [fleet_costs(hosts) for hosts in (520, 2600, fleets.HOSTS)],
     }
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -125,16 +125,21 @@
             run['idle']['store_calls_per_s'] for run in runs
         ],
     }
-    for phase in ('idle', 'churn'):
-        rows = [run[phase]['roles']['all'] for run in runs]
-        values[f'control B/s a daemon, {phase}'] = [
+    for phase, role in (
+        ('idle', 'all'),
+        ('churn', 'leaf'),
+        ('churn', 'relay'),
+    ):
+        rows = [run[phase]['roles'][role] for run in runs]
+        label = f'{phase}, {role}'
+        values[f'control B/s a daemon, {label}'] = [
             row['bytes_mean'] for row in rows
         ]
-        values[f'CPU % a daemon, {phase}'] = [row['cpu'] * 100 for row in rows]
-        values[f'reconcile B/s, asking side, {phase}'] = [
-            row['reconcile.sent-bytes'] + row['reconcile.received-bytes']
-            for row in rows
-        ]
+        values[f'CPU % a daemon, {label}'] = [row['cpu'] * 100 for row in rows]
+    values['reconcile B/s, asking side, idle'] = [
+        row['reconcile.sent-bytes'] + row['reconcile.received-bytes']
+        for row in (run['idle']['roles']['all'] for run in runs)
+    ]
     return {name: figures.fit(counts, found) for name, found in values.items()}
 
 
