--- a/testing/test_bench_bounds.py
+++ b/testing/test_bench_bounds.py
@@ -126,7 +126,7 @@
     parent = fleets.full_node('parent', LEAF, 20)
     parent.replica.clock = timers.TimerService(random.Random(1))
     link = links.Link('child', parent.table, parent.counts)
-    link.greeted = True
+    link.greeted = link.owes_greeting = True
     sent: asyncio.Queue[control_pb2.Frame] = asyncio.Queue()
     closing = asyncio.Event()
 
@@ -137,8 +137,8 @@
     conversing = asyncio.ensure_future(
         streams.converse(link, read, sent.put, closing)
     )
-    while link not in parent.table.links:
-        await asyncio.sleep(0)
+    greeting = await asyncio.wait_for(sent.get(), 30)
+    assert greeting.HasField('hello')
     for record in list(fleets.records(60))[20:]:
         parent.learn([record])
         # Each record comes with a message of its own.
