--- a/src/peridotpost/model/calls.py
+++ b/src/peridotpost/model/calls.py
@@ -20,6 +20,7 @@
         since clocks of different hosts differ.
     :param depth: how many calls of the mesh led to this one.
     :param key: idempotency key, empty for an idempotent call.
+    :param caller: who sends it, for fair shares; empty if unknown.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     idempotent: bool
     key: str = ''
     depth: int = 0
+    caller: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +57,7 @@
     UNREACHABLE = 'unreachable'
     NOT_READY = 'not-ready'
     BAD_KEY = 'bad-key'
+    BAD_REQUEST = 'bad-request'
     TOO_LARGE = 'too-large'
     FORBIDDEN = 'forbidden'
     POISON = 'poison'
@@ -76,10 +79,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutcomeUnknown:
-    """A target may have run the request; no answer can be given."""
+    """A target may have run the request; no answer can be given.
+
+    :param incident: names the crash in which the target was lost; empty
+        if it was not seen to crash.
+    """
 
     detail: str
     peer: str = ''
+    incident: str = ''
 
 
 Outcome = Answer | NotRun | OutcomeUnknown
