--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,6 +20,7 @@
 from bench import texts
 from peridotpost.border import text as text_border
 from peridotpost.decisions import fleet as fleet_rules
+from peridotpost.decisions import seeds as seed_rules
 from peridotpost.decisions import tree
 from peridotpost.decisions import versions as version_rules
 from peridotpost.distribution import links
@@ -156,7 +157,7 @@
 def _seeds_due(one: replicas.Replica) -> None:
     """Do what each daemon does to know whether it keeps a seed record."""
     hosts = one.fleet.live_hosts('zone-00')
-    tree.seed_hosts('zone-00', hosts, seeds.SEEDS_PER_ZONE)
+    tree.seed_hosts('zone-00', hosts, seed_rules.SEEDS_PER_ZONE)
 
 
 def _plan(one: replicas.Replica, relay: bool) -> None:
@@ -233,7 +234,7 @@
 
 def store_costs() -> dict[str, int]:
     """Return the bytes of one read of all bootstrap records."""
-    count = fleets.ZONES * seeds.SEEDS_PER_ZONE
+    count = fleets.ZONES * seed_rules.SEEDS_PER_ZONE
     platform = platform_standin.Platform()
     prefix = seeds.seeds_prefix('measured')
     for record in fleets.records(count):
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -5,6 +5,7 @@
 import datetime
 import math
 import os
+import subprocess
 from typing import Any
 
 
@@ -69,4 +70,16 @@
         'at': now.isoformat(timespec='seconds'),
         'load_1_min': os.getloadavg()[0],
         'cores': os.cpu_count(),
+        'revision': revision(),
     }
+
+
+def revision() -> str:
+    """Return the commit that is measured, empty outside a checkout."""
+    asked = subprocess.run(
+        ['git', 'rev-parse', '--short', 'HEAD'],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return asked.stdout.strip()
--- a/testing/test_bench_bounds.py
+++ b/testing/test_bench_bounds.py
@@ -17,6 +17,7 @@
 
 from bench import fleets
 from bench import texts
+from peridotpost.decisions import seeds as seed_rules
 from peridotpost.decisions import tree
 from peridotpost.decisions import versions as version_rules
 from peridotpost.distribution import links
@@ -287,7 +288,7 @@
     etcd_store: conftest.StoreFactory,
 ) -> None:
     hosts = [f'h{number}' for number in range(ZONE_HOSTS)]
-    due = tree.seed_hosts('zone-00', hosts, seeds.SEEDS_PER_ZONE)
+    due = tree.seed_hosts('zone-00', hosts, seed_rules.SEEDS_PER_ZONE)
     assert len(due) == 8
     async with etcd_store() as under:
         record = next(fleets.records(1, 1))
@@ -313,7 +314,7 @@
     def record_of(self, host: str) -> members.MemberRecord | None:
         return self.records.get(host)
 
-    def live_in_zone(self) -> list[members.MemberRecord]:
+    def live(self) -> list[members.MemberRecord]:
         return list(self.records.values())
 
     def offer(self, record: members.MemberRecord) -> None:
@@ -333,7 +334,10 @@
         probe = control_pb2.Probe.FromString(data)
         if self.answers:
             ack = control_pb2.Probe(
-                kind=probing.ACK, nonce=probe.nonce, source=probe.subject
+                kind=probing.ACK,
+                nonce=probe.nonce,
+                source=probe.subject,
+                subject=probe.subject,
             )
             self.prober.received(ack.SerializeToString(), address)
 
@@ -352,6 +356,7 @@
     for hosts in (12, ZONE_HOSTS):
         prober = probing.Prober(
             'zone-00-0',
+            'zone-00',
             Neighbours(hosts),
             clock,
             counters.Counters(),
