--- a/bench/meshes.py
+++ b/bench/meshes.py
@@ -89,6 +89,17 @@
         self.head = won.revision
         return won.revision
 
+    def check_running(self) -> None:
+        """Raise RuntimeError if a program has ended.
+
+        A port that was free when planned may be taken since, where other
+        meshes start on the same machine; then only a new plan helps.
+        """
+        for name, process in self.running.started.items():
+            if process.poll() is not None:
+                log = self.running.log_of(name)
+                raise RuntimeError(f'{name} ended, start again: {log[-500:]}')
+
     async def wait_joined(self) -> None:
         """Wait until every daemon is ready and knows every other one.
 
@@ -97,6 +108,7 @@
         until = time.monotonic() + START_S
         count = len(self.plan.hosts)
         while time.monotonic() < until:
+            self.check_running()
             with contextlib.suppress(httpclient.HTTPError, OSError):
                 pages = await self.pages('/v1/status')
                 if all(
--- a/bench/report.py
+++ b/bench/report.py
@@ -151,6 +151,60 @@
     return table(['figure', 'constant', 'slope per daemon'], rows)
 
 
+EARLIER = (
+    ('fa20b9f, marks of all members', 'first/'),
+    ('768ecae, sums and beats', 'second/'),
+    ('now', ''),
+)
+
+
+def _earlier() -> list[str]:
+    """Show what changes of the code did to the measures."""
+    rows = []
+    for name, folder in EARLIER:
+        runs = [load(f'{folder}convergence-{size}') for size in SIZES]
+        counts = [float(run['daemons']) for run in runs]
+        sums = [run['idle']['roles']['all']['bytes_mean'] for run in runs]
+        relay = runs[-1]['idle']['roles']['relay']
+        capacity = load(f'{folder}capacity')['fleet'][-1]
+        rows.append(
+            [
+                name,
+                ' / '.join(f'{one:.0f}' for one in sums),
+                f'{figures.fit(counts, sums).slope:.2f}',
+                f'{relay["cpu"] * 100:.2f}',
+                str(capacity['bytes']['digest']),
+                f'{runs[-1]["text_s"]["p99"] * 1000:.0f}',
+                f'{runs[-1]["circumstances"]["load_1_min"]:.0f}',
+            ]
+        )
+    head = [
+        'commit',
+        'idle control B/s at 12 / 48 / 100',
+        'slope a daemon',
+        'relay idle CPU % at 100',
+        'digest B at 5,200',
+        'text p99 ms at 100',
+        'load before',
+    ]
+    return table(head, rows)
+
+
+def message_cost() -> figures.Line:
+    """Fit processor time, ms a second, to link messages a second.
+
+    Through the daemons by role, idle, of the four sizes: what a message
+    sent, and the one received for it, costs a daemon.
+    """
+    xs, ys = [], []
+    for size in (*SIZES, TREE_RUN):
+        for role, row in load(f'convergence-{size}')['idle']['roles'].items():
+            if role != 'all':
+                xs.append(row['link.sent-messages'])
+                ys.append(row['cpu'] * 1000)
+    return figures.fit(xs, ys)
+
+
 def _ways() -> list[str]:
     run = load('ways-48')
     rows = []
@@ -211,7 +265,7 @@
         ],
         [
             'an idle stream, a second',
-            '0 B',
+            f'{stream["idle_payload_bytes_per_s"]:.1f} B',
             f'{stream["idle_stream_bytes_per_s"]:.1f} B',
             f'{stream["idle_with_headers_per_s"]:.1f} B',
         ],
@@ -223,15 +277,20 @@
         ],
         [
             'a probe or its acknowledgement',
-            '24 B',
-            '24 B',
-            f'{24 + run["udp_header_bytes"]} B',
+            f'{_probe_bytes():.0f} B',
+            f'{_probe_bytes():.0f} B',
+            f'{_probe_bytes() + run["udp_header_bytes"]:.0f} B',
         ],
     ]
     head = ['what', 'payload (counted)', 'TCP or UDP stream (measured)']
     return table([*head, 'with IP headers (estimate)'], rows)
 
 
+def _probe_bytes() -> float:
+    row = load('convergence-100')['idle']['roles']['all']
+    return float(row['probe.sent-bytes'] / row['probe.sent-messages'])
+
+
 def _path() -> list[str]:
     run = load('path')
     rows = []
@@ -329,6 +388,18 @@
             '',
             *_slopes(),
             '',
+            'Processor time against messages, by role, idle: '
+            f'{message_cost().constant:.1f} ms a second, and '
+            f'{message_cost().slope:.2f} ms for each link message sent '
+            'with the one received for it.',
+            '',
+            '## What changes of the code did',
+            '',
+            'The same commands at earlier commits; results in '
+            'bench/results/first and second.',
+            '',
+            *_earlier(),
+            '',
             '## What framing adds to the counted bytes',
             '',
             '`python -m bench.framing`: the same exchanges through a relay '
