--- a/src/peridotpost/calls/guard.py
+++ b/src/peridotpost/calls/guard.py
@@ -1,17 +1,17 @@
 """The guard of this host's targets: the last to decide before a run.
 
 A refusal by the guard is the proof that a request was not run, since it
-alone writes to the target.  For non-idempotent calls it keeps a ledger of
-the keys it ran, so that a resend gets the recorded answer.
+alone writes to the target.  It runs each dispatch of a key at most once;
+the key's owner (``calls.owner``) keeps its answer.
 """
 
 import asyncio
-import collections
 from collections.abc import Iterator
 import contextlib
 import dataclasses
 
 from peridotpost.calls import connections
+from peridotpost.calls import ledger
 from peridotpost.decisions import admission
 from peridotpost.decisions import fairness
 from peridotpost.decisions import poison
@@ -24,8 +24,6 @@
 from peridotpost.model import config
 from peridotpost.model import members
 
-LEDGER_ENTRIES = 20_000
-"""At 102 calls/s, a third of them non-idempotent, ten minutes of keys."""
 SAME_CRASH_S = 1.0
 """Calls lost within this were lost in one crash of the target: a restart
 takes longer, and one request must not be blamed twice for it."""
@@ -64,9 +62,7 @@
         self.events = events
         self.counts = counts
         self.gates: dict[tuple[str, str], TargetGate] = {}
-        self.ledger: collections.OrderedDict[
-            str, asyncio.Future[calls.Outcome]
-        ] = collections.OrderedDict()
+        self.ledger = ledger.DispatchLedger()
         self.poison = poison.PoisonList()
         self.crashed_at: dict[tuple[str, str], float] = {}
         self.in_flight = 0
@@ -83,21 +79,10 @@
             self.in_flight -= 1
 
     async def _run_keyed(self, call: calls.Call, target: str) -> calls.Outcome:
-        """Run a non-idempotent call, or join the run of its key."""
-        known = self.ledger.get(call.key)
-        if known is not None:
-            self.counts.add('guard.joined')
-            return await asyncio.shield(known)
-        # The run goes on when its caller leaves: a resend of the key has
-        # to find its answer, which a cancelled run could not give.
-        running = asyncio.ensure_future(self._run_once(call, target))
-        self.ledger[call.key] = running
-        while len(self.ledger) > LEDGER_ENTRIES:
-            self.ledger.popitem(last=False)
-        outcome = await asyncio.shield(running)
-        if isinstance(outcome, calls.NotRun):
-            self.ledger.pop(call.key, None)
-        return outcome
+        """Run a dispatch of a non-idempotent call, or join its run."""
+        return await self.ledger.run(
+            call, lambda: self._run_once(call, target)
+        )
 
     async def _run_once(self, call: calls.Call, name: str) -> calls.Outcome:
         # Counted beside `run`: a non-idempotent call goes on when its
--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -8,8 +8,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import random
-import uuid
 
 import eliot
 from tornado import http1connection
@@ -22,6 +22,7 @@
 from peridotpost.calls import peers
 from peridotpost.calls import problems
 from peridotpost.calls import router as routers
+from peridotpost.decisions import idempotency
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
 from peridotpost.kernel import timeline
@@ -38,7 +39,6 @@
 MAX_DIGITS = 18
 UNKNOWN_BODY_BYTES = 65_536
 """Kept of a request to no known service, only to answer it."""
-MAX_KEY_LENGTH = 128
 OWN_HEADERS = connections.HOP_HEADERS | {
     'idempotency-key',
     'peridot-timeout-ms',
@@ -111,7 +111,8 @@
             call = self.to_call(start, headers, body, request_id, source)
         except RefusedRequest as error:
             self.counts.add(f'ingress.refused.{error.refusal.reason.value}')
-            return problems.to_answer(error.refusal, request_id)
+            refused = _of_key(error.refusal, headers.get(KEY_HEADER))
+            return problems.to_answer(refused, request_id)
         self.events.record(
             'call.received', call.service, request_id=request_id
         )
@@ -120,7 +121,7 @@
         self.events.record(
             'call.done', type(outcome).__name__, request_id=request_id
         )
-        return problems.to_answer(outcome, request_id)
+        return _with_key(problems.to_answer(outcome, request_id), call.key)
 
     def body_limit(self, headers: httputil.HTTPHeaders) -> int:
         """Return how many bytes of a request's body are kept."""
@@ -176,7 +177,7 @@
             body=body,
             budget_ms=min(asked_ms, rule.deadline_ms),
             idempotent=rule.idempotent,
-            key='' if rule.idempotent else _key(headers),
+            key='' if rule.idempotent else _key(headers, self.router.keyed),
             depth=depth,
             caller=_caller(headers, source),
         )
@@ -352,16 +353,47 @@
     return int(raw)
 
 
-def _key(headers: httputil.HTTPHeaders) -> str:
-    key = headers.get(KEY_HEADER)
-    if key is None:
-        return str(uuid.uuid4())
-    if not 0 < len(key) <= MAX_KEY_LENGTH or not key.isprintable():
+def _key(
+    headers: httputil.HTTPHeaders, keyed: routers.KeyedCalls | None
+) -> str:
+    given = headers.get(KEY_HEADER)
+    if keyed is None:
         raise RefusedRequest(
-            calls.NotRunReason.BAD_KEY,
-            f'{KEY_HEADER} is to have 1 to {MAX_KEY_LENGTH} characters',
+            calls.NotRunReason.NOT_READY, 'calls with keys are not served'
         )
-    return key
+    if given is None:
+        return keyed.mint()
+    try:
+        return idempotency.parse(given).text
+    except idempotency.BadKey as error:
+        raise RefusedRequest(
+            calls.NotRunReason.BAD_KEY, f'{KEY_HEADER}: {error}'
+        ) from error
+
+
+def _of_key(refusal: calls.NotRun, key: str | None) -> calls.Outcome:
+    """Return what a refusal here says of a request with a key.
+
+    Failure answered: a caller whose call ran, but whose answer was lost,
+    sends it again to a daemon that is not ready or holds another version;
+    told `not run`, it would send the call under a new key.  Only the key's
+    owner can tell; a key that is none was never run anywhere.
+    """
+    if key is None or refusal.reason is calls.NotRunReason.BAD_KEY:
+        return refusal
+    return calls.OutcomeUnknown(
+        f'{refusal.detail}; this daemon did not run it, and cannot tell '
+        'whether it ran by another'
+    )
+
+
+def _with_key(answer: calls.Answer, key: str) -> calls.Answer:
+    """Return the answer with the key that its call ran under."""
+    if not key:
+        return answer
+    kept = [one for one in answer.headers if one.name.title() != KEY_HEADER]
+    headers = (*kept, calls.Header(KEY_HEADER, key))
+    return dataclasses.replace(answer, headers=headers)
 
 
 def _caller(headers: httputil.HTTPHeaders, source: str) -> str:
--- a/src/peridotpost/calls/router.py
+++ b/src/peridotpost/calls/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from typing import Protocol
 
 from peridotpost.calls import frames
 from peridotpost.calls import guard as guards
@@ -21,6 +22,14 @@
 FORGET_PERIOD_S = 60.0
 
 
+class KeyedCalls(Protocol):
+    """The way of non-idempotent calls, to the owner of their key."""
+
+    def mint(self) -> str: ...
+
+    async def route(self, call: calls.Call) -> calls.Outcome: ...
+
+
 class Router:
     """Chooses targets by ``decisions.choice`` and ``decisions.retry``."""
 
@@ -46,14 +55,32 @@
         self.book = choice.LoadBook()
         self.ejector = ejection.Ejector(zone, randomness)
         self.budgets: dict[str, retry.RetryBudget] = {}
+        self.keyed: KeyedCalls | None = None
         streams.reported.subscribe(self._load_reported)
         clock.subscribe('router.forget', FORGET_PERIOD_S, self._forget)
 
     async def route(self, call: calls.Call) -> calls.Outcome:
         """Carry `call` to a target and return its one outcome."""
+        if call.idempotent or self.keyed is None:
+            return await self.carry(call)
+        return await self.keyed.route(call)
+
+    async def carry(
+        self, call: calls.Call, first_attempt: int = 0
+    ) -> calls.Outcome:
+        """Try one target after another.
+
+        A call with a key comes here once, from its owner.  Only then may
+        it be refused as one that crashes targets: an earlier resend could
+        have run, and "not run" would be wrong.
+
+        :param first_attempt: dispatches are numbered from the next on.
+        """
         refused_s = self.guard.poison.refused_for_s(call, self.clock.now())
         if refused_s > 0:
             return self._poisoned(refused_s)
+        if first_attempt:
+            call = dataclasses.replace(call, attempt=first_attempt)
         return retry.marked(await self._try_targets(call))
 
     async def _try_targets(self, call: calls.Call) -> calls.Outcome:
@@ -114,6 +141,9 @@
             )
         key = choice.key_of(endpoint)
         tried.add(key)
+        if not call.idempotent:
+            attempt = call.attempt + len(tried)
+            call = dataclasses.replace(call, attempt=attempt)
         self.book.sent(key)
         self.ejector.trying(key, self.clock.now())
         try:
@@ -176,16 +206,13 @@
         self, call: calls.Call, tried: set[str]
     ) -> routing.Endpoint | None:
         endpoints = self._endpoints(call)
-        if call.idempotent:
-            now = self.clock.now()
-            out = self.ejector.excluded(map(_subject, endpoints), now)
-            found = self._choose_among(endpoints, tried | out, now)
-            if found is None and out:
-                # Nobody else is left: an ejected target beats none.
-                found = self._choose_among(endpoints, tried, now)
-            return found
-        left = [one for one in endpoints if choice.key_of(one) not in tried]
-        return choice.choose_for_key(left, call.key)
+        now = self.clock.now()
+        out = self.ejector.excluded(map(_subject, endpoints), now)
+        found = self._choose_among(endpoints, tried | out, now)
+        if found is None and out:
+            # Nobody else is left: an ejected target beats none.
+            found = self._choose_among(endpoints, tried, now)
+        return found
 
     def _choose_among(
         self,
--- a/src/peridotpost/distribution/source.py
+++ b/src/peridotpost/distribution/source.py
@@ -13,6 +13,7 @@
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
 from peridotpost.kernel import logs
+from peridotpost.kernel import tasks
 from peridotpost.model import config
 from peridotpost.model import errors
 from peridotpost.platform import store
@@ -48,6 +49,9 @@
     def follow_place(self, place: tree.Place) -> None:
         """Watch exactly while this daemon is a relay."""
         if place.parent_of_others:
+            # It goes on holding the whole when its place moves on: in a
+            # zone that is cut off it may be the only one that does, and
+            # the one that takes its place has to fetch it from here.
             self.replica.set_interest(config.EVERYTHING)
         if place.relay and self.watching is None:
             self.watching = asyncio.ensure_future(self._watch())
@@ -71,7 +75,7 @@
         return True
 
     async def _watch(self) -> None:
-        while True:
+        while not tasks.cancelled():
             began = self.replica.clock.now()
             try:
                 good = await self.read_once() and await self._watch_once()
@@ -137,5 +141,4 @@
         yield source
     finally:
         if source.watching is not None:
-            source.watching.cancel()
-            await asyncio.gather(source.watching, return_exceptions=True)
+            await tasks.end(source.watching)
--- a/src/peridotpost/distribution/uplinks.py
+++ b/src/peridotpost/distribution/uplinks.py
@@ -27,6 +27,7 @@
 from peridotpost.generated import control_pb2_grpc
 from peridotpost.kernel import counters
 from peridotpost.kernel import logs
+from peridotpost.kernel import tasks
 from peridotpost.model import errors
 from peridotpost.model import members
 
@@ -151,7 +152,7 @@
     async def _hold(self, name: str, candidates: tuple[str, ...]) -> None:
         choice = pacing.ParentChoice(self.randomness)
         clock = self.replica.clock
-        while True:
+        while not tasks.cancelled():
             uplink = self.wanted.get(name)
             if uplink is not None:
                 candidates = uplink.candidates
@@ -177,6 +178,14 @@
         """Hold one stream until it ends; return the refusal, if it was."""
         try:
             return await self._exchange(name, peer)
+        except asyncio.CancelledError:
+            # grpc raises this also when the channel is closed under the
+            # call.  Taken for our own end, it would end the daemon's only
+            # stream for good.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            self.counts.add('uplink.cancelled')
         except (grpc.RpcError, errors.PeridotError, TimeoutError) as error:
             self.counts.add('uplink.failed')
             logs.state_changed(
@@ -206,9 +215,8 @@
         )
         async with self.dial(address) as channel:
             call = control_pb2_grpc.ControlStub(channel).Exchange()
-            first = await asyncio.wait_for(
-                self._greet(call, link), streams.GREETING_S
-            )
+            async with asyncio.timeout(streams.GREETING_S):
+                first = await self._greet(call, link)
             if first.HasField('refusal'):
                 self.counts.add('uplink.refused')
                 refusal: control_pb2.Refusal = first.refusal
@@ -246,7 +254,5 @@
         uplinks.closing.set()
         if uplinks.replanning is not None:
             uplinks.replanning.cancel()
-        tasks = [uplink.task for uplink in uplinks.wanted.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        held = [uplink.task for uplink in uplinks.wanted.values()]
+        await tasks.end(*held)
--- a/testing/callpath.py
+++ b/testing/callpath.py
@@ -18,12 +18,14 @@
 from peridotpost.calls import ingress as ingresses
 from peridotpost.calls import peers
 from peridotpost.calls import router as routers
+from peridotpost.decisions import idempotency
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
 from peridotpost.kernel import timeline
 from peridotpost.kernel import timers
 from peridotpost.membership import myself as own
 from peridotpost.membership import targets as local
+from peridotpost.model import calls
 from peridotpost.model import config
 from peridotpost.model import members
 from peridotpost.standins import target as standin
@@ -83,6 +85,23 @@
             self.replica.offer_member(other.myself.record, 'test')
 
 
+class DirectKeys:
+    """Stands in for the owners of keys: every key is fresh, and runs here.
+
+    That a key runs once is proved by the tests of ownership.
+    """
+
+    def __init__(self, router: routers.Router) -> None:
+        self.router = router
+        self.randomness = random.Random(router.zone)
+
+    def mint(self) -> str:
+        return idempotency.mint(1, self.randomness).text
+
+    async def route(self, call: calls.Call) -> calls.Outcome:
+        return await self.router.carry(call)
+
+
 @contextlib.asynccontextmanager
 async def node(
     host: str, zone: str = 'a', mesh_text: str = TEXT
@@ -121,6 +140,7 @@
         router = routers.Router(
             replica, guard, streams, clock, events, counts, zone, randomness
         )
+        router.keyed = DirectKeys(router)
         one = Node(
             host,
             zone,
