--- a/testing/callpath.py
+++ b/testing/callpath.py
@@ -94,7 +94,7 @@
 
     def __init__(self, router: routers.Router) -> None:
         self.router = router
-        self.randomness = random.Random(router.zone)
+        self.randomness = random.Random(router.replica.host)
 
     def mint(self) -> str:
         return idempotency.mint(1, self.randomness).text
