Progress says which hosts it covers, not only how many

A daemon that moves between two parents is for a moment told of by both; by a count alone it stood for one that had not been heard of, and a version passed for in force everywhere (row one-told-twice-for-one-untold).

--- a/src/peridotpost/distribution/links.py
+++ b/src/peridotpost/distribution/links.py
@@ -27,7 +27,6 @@
 """Own beats without a word from the peer after which a link is given up.
 Counted by own beats, not by the clock, so that a process which was paused
 itself does not blame its peers."""
-NOTHING_BELOW = progress.Progress(0, 0)
 
 
 class LinkTable:
@@ -50,7 +49,8 @@
     def progress(self) -> progress.Progress:
         """Lowest revision in force here and at all that report to here."""
         below = [link.below for link in self.links]
-        return progress.combine(self.replica.version.revision, below)
+        revision = self.replica.version.revision
+        return progress.combine(self.replica.host, revision, below)
 
     def attach(self, link: 'Link') -> None:
         self.links.append(link)
@@ -113,7 +113,7 @@
         self.owes_whole_request = False
         self.owes_beat = False
         self.told: progress.Progress | None = None
-        self.below = NOTHING_BELOW
+        self.below = progress.NOTHING_TOLD
         self.heard = True
         self.silent_beats = 0
         self.wake = asyncio.Event()
@@ -170,14 +170,16 @@
         return None
 
     def _progress(self) -> control_pb2.Frame | None:
-        now = self.table.progress if self.reports else NOTHING_BELOW
+        now = self.table.progress if self.reports else progress.NOTHING_TOLD
         if not self.owes_beat and (not self.reports or now == self.told):
             return None
         self.owes_beat = False
         self.told = now
         return control_pb2.Frame(
             progress=control_pb2.Progress(
-                lowest_revision=now.lowest_revision, daemons=now.daemons
+                lowest_revision=now.lowest_revision,
+                daemons=now.daemons,
+                hosts_sum=now.hosts_sum,
             )
         )
 
@@ -316,7 +318,9 @@
                 self.peer_version = held.scoped(self.interest)
 
     def _note_below(self, message: control_pb2.Progress) -> None:
-        told = progress.Progress(message.lowest_revision, message.daemons)
+        told = progress.Progress(
+            message.lowest_revision, message.daemons, message.hosts_sum
+        )
         if told != self.below:
             self.below = told
             self.table.note_progress()
--- a/testing/test_distribution_cuts.py
+++ b/testing/test_distribution_cuts.py
@@ -1,9 +1,12 @@
 """Zones cut off from each other and from the platform, in one process."""
 
 import asyncio
+from collections.abc import Sequence
+import functools
 
 from peridotpost.decisions import progress
 from peridotpost.decisions import tree
+from peridotpost.distribution import links
 from testing import zones as zoned
 
 ZONE = 'hel-a'
@@ -85,14 +88,18 @@
             hosts = [host for host in zones.daemons if zone in host]
             root = zones.links(tree.relays_of(zone, hosts)[0])
             await zones.until(
-                lambda root=root: progress.in_force(  # type: ignore[misc]
-                    revision, root.progress, 3
-                ),
+                functools.partial(has_all, root, revision, hosts),
                 f'{zone} has {revision} in force',
             )
             assert root.progress.daemons == 3
 
 
+def has_all(
+    root: links.LinkTable, revision: int, hosts: Sequence[str]
+) -> bool:
+    return progress.in_force(revision, root.progress, hosts)
+
+
 async def test_zones_cut_from_each_other_hold_one_fleet_after_healing(
     mesh_text: str,
 ) -> None:
--- a/testing/test_versions_rules.py
+++ b/testing/test_versions_rules.py
@@ -1,5 +1,6 @@
 """Which configuration a daemon applies, and which part it may pass on."""
 
+from collections.abc import Iterable
 import dataclasses
 
 import pytest
@@ -259,24 +260,50 @@
     assert pipe.bytes_sent < bound
 
 
+def told(
+    revision: int, *hosts: str, below: Iterable[progress.Progress] = ()
+) -> progress.Progress:
+    """Return what the first host tells, with the others at `revision`."""
+    others = [progress.combine(host, revision, ()) for host in hosts[1:]]
+    return progress.combine(hosts[0], revision, [*others, *below])
+
+
 @pytest.mark.parametrize(
-    ('own', 'below', 'lowest', 'daemons'),
+    ('word', 'live', 'known'),
     [
-        pytest.param(7, [], 7, 1, id='alone'),
-        pytest.param(7, [(5, 3), (7, 1)], 5, 5, id='one-child-behind'),
-        pytest.param(4, [(5, 3)], 4, 4, id='itself-behind'),
-        pytest.param(7, [(0, 0)], 7, 1, id='child-has-not-told-yet'),
+        pytest.param(told(5, 'a'), 'a', True, id='alone'),
+        pytest.param(told(5, 'a', 'b', 'c'), 'abc', True, id='all-told'),
+        pytest.param(
+            told(7, 'a', 'b', below=[told(4, 'c')]),
+            'abc',
+            False,
+            id='one-behind',
+        ),
+        pytest.param(
+            told(4, 'a', below=[told(5, 'b', 'c')]),
+            'abc',
+            False,
+            id='itself-behind',
+        ),
+        pytest.param(told(5, 'a', 'b'), 'abc', False, id='one-untold'),
+        pytest.param(
+            told(5, 'a', 'b', 'b'),
+            'abc',
+            False,
+            id='one-told-twice-for-one-untold',
+        ),
+        pytest.param(
+            told(5, 'a', below=[progress.NOTHING_TOLD]),
+            'ab',
+            False,
+            id='child-has-not-told-yet',
+        ),
     ],
 )
-def test_progress_is_the_lowest_below(
-    own: int, below: list[tuple[int, int]], lowest: int, daemons: int
+def test_version_is_known_to_be_in_force_once_all_told(
+    word: progress.Progress, live: str, known: bool
 ) -> None:
-    told = [progress.Progress(*one) for one in below]
-    combined = progress.combine(own, told)
-    assert combined == progress.Progress(lowest, daemons)
-    assert progress.in_force(lowest, combined, daemons)
-    assert not progress.in_force(lowest + 1, combined, daemons)
-    assert not progress.in_force(lowest, combined, daemons + 1)
+    assert progress.in_force(5, word, live) is known
 
 
 def test_progress_of_a_tree_reaches_its_root_in_few_messages() -> None:
@@ -291,13 +318,15 @@
         pipes += [fleets.Pipe(leaf, middle) for leaf in leaves]
     root.hold(OLD)
     fleets.run_until_quiet(pipes)
-    assert root.table.progress == progress.Progress(OLD.revision, 37)
+    hosts = [root.host, *(pipe.nodes[0].host for pipe in pipes)]
+    assert progress.in_force(OLD.revision, root.table.progress, hosts)
     root.hold(NEW)
     for pipe in pipes[:-1]:
         fleets.run_until_quiet([pipe])
     assert root.table.progress.lowest_revision == OLD.revision
     frames = fleets.run_until_quiet(pipes)
-    assert root.table.progress == progress.Progress(NEW.revision, 37)
+    assert progress.in_force(NEW.revision, root.table.progress, hosts)
+    assert root.table.progress.daemons == 37
     assert frames <= 2 * len(pipes)
 
 
