A good version behind a damaged head comes by the watch, not by polling

Before, a relay whose read of the head failed never watched and read again after up to 5 s of back-off, over the 4 s that a change may take; a line of log was written for each read. Test fails without the change (timeout).

--- a/src/peridotpost/distribution/source.py
+++ b/src/peridotpost/distribution/source.py
@@ -44,6 +44,8 @@
         self.watching: asyncio.Task[None] | None = None
         self.last_revision = 0
         self.reachable = True
+        self.garbage = False
+        self.rejection = ''
 
     def follow_place(self, place: tree.Place) -> None:
         """Watch exactly while this daemon is a relay."""
@@ -64,10 +66,12 @@
         """Read the head; False when the store gave no usable answer."""
         head = await versions.read_head(self.platform, self.mesh)
         if isinstance(head, result.Err):
-            if isinstance(head.err_value, errors.StoreGarbage):
+            self.garbage = isinstance(head.err_value, errors.StoreGarbage)
+            if self.garbage:
                 self._rejected(head.err_value)
             self._failed(head.err_value)
             return False
+        self.garbage = False
         self._recovered()
         if head.ok_value is not None:
             self._offer(head.ok_value)
@@ -77,7 +81,10 @@
         while True:
             began = self.replica.clock.now()
             try:
-                good = await self.read_once() and await self._watch_once()
+                # Behind a damaged head the watch still tells of the good
+                # version that takes its place, at once.
+                read = await self.read_once() or self.garbage
+                good = read and await self._watch_once()
             except Exception:
                 # A relay whose watch dies by a mistake of ours would hear
                 # of no version and look healthy.
@@ -121,7 +128,9 @@
 
     def _rejected(self, error: errors.StoreError) -> None:
         self.counts.add('source.rejected')
-        logs.state_changed('version-rejected', error=str(error)[:500])
+        if self.rejection != str(error):
+            self.rejection = str(error)
+            logs.state_changed('version-rejected', error=str(error)[:500])
 
     def _failed(self, error: errors.StoreError) -> None:
         if self.reachable:
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -24,6 +24,7 @@
 from peridotpost.model import errors
 from peridotpost.model import members
 from peridotpost.platform import store
+from peridotpost.platform import versions
 from testing import fleets
 
 
@@ -352,3 +353,39 @@
     await asyncio.wait_for(enough.wait(), 30)
     watching.cancel()
     assert platform.reads == backoff.failures
+
+
+class DamagedHeadStore(EndlessStore):
+    """A store whose head is damaged, and whose watch brings a good one."""
+
+    async def read(
+        self, key: str
+    ) -> result.Result[store.KeyValue | None, errors.StoreError]:
+        return result.Ok(store.KeyValue(key, b'damaged', 4))
+
+
+async def test_good_version_behind_a_damaged_head_comes_by_the_watch(
+    mesh_text: str,
+) -> None:
+    # Another client has written over the head, and an operator mends it.
+    # A relay that only read again from time to time would be seconds late.
+    node = fleets.Node('relay')
+    platform = DamagedHeadStore(False)
+    source = sources.Source(
+        platform,  # type: ignore[arg-type]
+        'mesh',
+        node.replica,
+        node.counts,
+        random.Random(1),
+    )
+    accepted = versions.Accepted(5, 1, 'id', 'a', '', 0.0, 4, mesh_text)
+    good = store.KeyValue('head', versions.to_value(accepted), 5)
+    platform.items = [result.Ok(good)]
+    assert not await source.read_once()
+    came = asyncio.Event()
+    node.replica.changed.subscribe(lambda _: came.set())
+    watching = asyncio.ensure_future(source._watch())
+    await asyncio.wait_for(came.wait(), 30)
+    watching.cancel()
+    assert node.replica.version.revision == 5
+    assert node.counts.totals['source.rejected'] >= 2
