A pause within a tick of the prober counts as one

Story: frozen while it waits for answers, a daemon saw the expired wait first; the gap between two ticks did not show it, and a slow tick looked like a pause.

--- a/src/peridotpost/decisions/suspicion.py
+++ b/src/peridotpost/decisions/suspicion.py
@@ -187,6 +187,10 @@
         self.last_tick = now
         return gap > self.factor * self.period_s
 
+    def rested(self, now: float) -> None:
+        """Begin the gap at the end of a tick that takes long itself."""
+        self.last_tick = now
+
 
 def overslept(expected_s: float, took_s: float, period_s: float) -> bool:
     """Say whether a wait took so long that this process was paused in it.
--- a/src/peridotpost/membership/probing.py
+++ b/src/peridotpost/membership/probing.py
@@ -28,6 +28,9 @@
 """A helper's word that it was asked, whatever the subject does: it shows
 that the prober itself is heard."""
 NONCE_BITS = 64
+PATIENCE = 3
+"""Timeouts in a probe: one of the subject, two of its helpers, whose own
+probe takes one."""
 MAX_RELAYED = 64
 """Probes run for others at once; more are refused, so that a flood of
 requests costs no more than so many datagrams each timeout."""
@@ -107,6 +110,12 @@
         await asyncio.gather(
             *(self._probe(subject, others) for subject in subjects)
         )
+        ended = self.clock.now()
+        if suspicion.overslept(
+            PATIENCE * self.timeout_s, ended - now, self.period_s
+        ):
+            self._own_pause(ended)
+        self.pause.rested(ended)
 
     def _own_pause(self, now: float) -> None:
         self.counts.add('probe.own-pause')
@@ -148,7 +157,9 @@
             answered,
             len(helpers),
             heard,
-            suspicion.overslept(3 * self.timeout_s, took, self.period_s),
+            suspicion.overslept(
+                PATIENCE * self.timeout_s, took, self.period_s
+            ),
         )
 
     async def _ping(self, record: members.MemberRecord) -> bool:
@@ -170,7 +181,9 @@
         with self._expecting(record.host, asked) as (nonce, expected):
             for helper in asked:
                 self._send(PING_REQUEST, nonce, record.host, helper, [])
-            answered = await self._answered(expected, 2 * self.timeout_s)
+            answered = await self._answered(
+                expected, (PATIENCE - 1) * self.timeout_s
+            )
             return answered, len(expected.heard)
 
     @contextlib.contextmanager
