--- a/src/peridotpost/calls/owner.py
+++ b/src/peridotpost/calls/owner.py
@@ -11,6 +11,8 @@
 import hashlib
 import random
 
+import eliot
+
 from peridotpost.calls import frames
 from peridotpost.calls import heirs as heirs_of_calls
 from peridotpost.calls import peers
@@ -63,22 +65,23 @@
             keeper.now_ms(),
             frozenset({myself.record.incarnation}),
         )
-        self.last_incarnation = myself.record.incarnation
         myself.changed.subscribe(self._record_changed)
 
     def _record_changed(self, record: members.MemberRecord) -> None:
         """Note an incarnation of this process.
 
         One that jumps came of an earlier process's record, as when the
-        host's clock was set back; it may be that one's, so it is not ours.
+        host's clock was set back; it and those after it may be that
+        process's too, so none is taken for ours.
         """
-        if record.incarnation == self.last_incarnation + 1:
-            self.process = ownership.Process(
-                self.process.host,
-                self.process.started_ms,
-                self.process.incarnations | {record.incarnation},
-            )
-        self.last_incarnation = record.incarnation
+        step = record.incarnation - max(self.process.incarnations)
+        if step != 1:
+            return
+        self.process = ownership.Process(
+            self.process.host,
+            self.process.started_ms,
+            self.process.incarnations | {record.incarnation},
+        )
 
     def mint(self) -> str:
         """Make the key of a call that came without; this host owns it."""
@@ -193,11 +196,14 @@
     async def _run(
         self, call: calls.Call, entry: idempotency.Entry
     ) -> calls.Outcome:
+        # Whatever breaks the run off may come after the dispatch.
         outcome: calls.Outcome = self._unknown('its run was broken off')
         try:
             outcome = await self.carry(call, entry.attempts)
+        except Exception:
+            self.counts.add('owner.broken-off')
+            eliot.write_traceback()
         finally:
-            # Whatever broke the run off may have come after the dispatch.
             self.ledger.settle(entry, outcome)
             del self.running[entry.key.text]
         return outcome
