--- a/src/peridotpost/cli/daemon.py
+++ b/src/peridotpost/cli/daemon.py
@@ -334,6 +334,10 @@
             if isinstance(found, result.Ok):
                 read = await source.read_once()
                 addresses += [one.control_address for one in found.ok_value]
+            elif not start.failures:
+                logs.state_changed(
+                    'start', to='waiting-for-store', error=str(found.err_value)
+                )
             mine = kernel.find('myself', own.Myself).record.control_address
             addresses = [one for one in addresses if one != mine]
             ups.bootstrap = tuple(addresses)
@@ -342,17 +346,17 @@
             await asyncio.sleep(start.next_delay())
 
     async def _ask_peers(self, store_read: bool, addresses: list[str]) -> bool:
-        """Ask a few peers at a time until enough of them answered."""
+        """Ask a few peers at a time until enough of them hold a version."""
         reconciler = self.kernel.find('reconciler', reconcile.Reconciler)
         step = version_rules.FIRST_READ_PEERS
-        answered = 0
+        holding = 0
         for start in range(0, max(1, len(addresses)), step):
             group = addresses[start : start + step]
             answers = await asyncio.gather(*map(reconciler.ask, group))
-            answered += sum(answers)
+            holding += sum(bool(revision) for revision in answers)
             asked = start + len(group)
             if version_rules.heard_enough(
-                store_read, answered, asked, len(addresses)
+                store_read, holding, asked, len(addresses)
             ):
                 return True
         return False
@@ -371,7 +375,7 @@
         clock.subscribe('seeds', timing.seed_period_s, self._keep_seed)
         clock.subscribe(
             'target-expiry',
-            timing.target_ttl_s / 4,
+            timing.target_ttl_s / local.EXPIRY_CHECKS,
             lambda: targets.expire(clock.now()),
         )
 
