--- a/src/peridotpost/admin/models.py
+++ b/src/peridotpost/admin/models.py
@@ -76,7 +76,8 @@
 class RolloutPage(pydantic.BaseModel):
     """How far versions have come at the asked daemon and below it.
 
-    `daemons` counts the asked daemon and all that report to it.
+    `daemons` counts the asked daemon and all that report to it;
+    `covers_zone` says whether those are just the live ones of its zone.
     """
 
     host: str
@@ -84,6 +85,7 @@
     revision: int
     lowest_revision: int
     daemons: int
+    covers_zone: bool
     zones: list[ZoneView]
 
 
--- a/src/peridotpost/admin/rollout.py
+++ b/src/peridotpost/admin/rollout.py
@@ -6,6 +6,7 @@
 
 from peridotpost.admin import models
 from peridotpost.decisions import fleet
+from peridotpost.decisions import progress
 from peridotpost.decisions import tree
 from peridotpost.distribution import links
 from peridotpost.distribution import replica as replicas
@@ -17,15 +18,18 @@
     """Return the daemon's word on itself and all that report to it."""
     replica = kernel.find('replica', replicas.Replica)
     myself = kernel.find('myself', own.Myself)
-    progress = kernel.find('links', links.LinkTable).progress
+    told = kernel.find('links', links.LinkTable).progress
+    zone = myself.record.availability_zone
+    live = replica.fleet.live_hosts(zone)
     return models.RolloutPage(
         host=replica.host,
-        availability_zone=myself.record.availability_zone,
+        availability_zone=zone,
         revision=replica.version.revision,
-        lowest_revision=progress.lowest_revision,
-        daemons=progress.daemons,
+        lowest_revision=told.lowest_revision,
+        daemons=told.daemons,
+        covers_zone=progress.in_force(0, told, live),
         zones=[
-            _zone_view(replica.fleet, zone) for zone in replica.fleet.zones()
+            _zone_view(replica.fleet, one) for one in replica.fleet.zones()
         ],
     )
 
--- a/src/peridotpost/cli/subcommands/rollout.py
+++ b/src/peridotpost/cli/subcommands/rollout.py
@@ -77,6 +77,7 @@
             one.page.availability_zone,
             one.page.lowest_revision,
             one.page.daemons,
+            one.page.covers_zone,
         )
         for one in asked
         if isinstance(one.page, models.RolloutPage)
--- a/src/peridotpost/decisions/rollout.py
+++ b/src/peridotpost/decisions/rollout.py
@@ -16,11 +16,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayWord:
-    """What one relay says of itself and those below it."""
+    """What one relay says of itself and those below it.
+
+    :param covers_zone: they are just the live daemons of its zone, see
+        ``decisions.progress``.
+    """
 
     availability_zone: str
     lowest_revision: int
     daemons: int
+    covers_zone: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,16 +34,18 @@
 
     :param live: daemons of the zone that are live.
     :param told: daemons for which one relay spoke.
+    :param covered: they are all of them, and no other.
     """
 
     availability_zone: str
     live: int
     told: int
     lowest_revision: int
+    covered: bool
 
     def has(self, revision: int) -> bool:
         """Whether `revision` is known to be in force in the whole zone."""
-        return self.told >= self.live and self.lowest_revision >= revision
+        return self.covered and self.lowest_revision >= revision
 
 
 def of_zone(
@@ -48,9 +55,13 @@
     mine = [w for w in words if w.availability_zone == availability_zone]
     widest = max(
         mine,
-        key=lambda word: (word.daemons, word.lowest_revision),
-        default=RelayWord(availability_zone, 0, 0),
+        key=lambda word: (word.covers_zone, word.daemons),
+        default=RelayWord(availability_zone, 0, 0, False),
     )
     return ZoneRollout(
-        availability_zone, live, widest.daemons, widest.lowest_revision
+        availability_zone,
+        live,
+        widest.daemons,
+        widest.lowest_revision,
+        widest.covers_zone,
     )
--- a/testing/test_rollout.py
+++ b/testing/test_rollout.py
@@ -12,18 +12,18 @@
 @pytest.mark.parametrize(
     ('words', 'arrived'),
     [
-        pytest.param([(7, 3), (7, 1)], True, id='first-speaks-for-all'),
-        pytest.param([(6, 3), (8, 1)], False, id='one-behind'),
-        pytest.param([(7, 2), (7, 1)], False, id='one-is-moving'),
-        pytest.param([(7, 2)], False, id='first-relay-is-silent'),
+        pytest.param([(7, 3, True), (7, 1, False)], True, id='one-for-all'),
+        pytest.param([(6, 3, True), (8, 1, False)], False, id='one-behind'),
+        pytest.param([(7, 2, False), (7, 1, False)], False, id='one-moving'),
+        pytest.param([(7, 3, False)], False, id='one-twice-for-another'),
         pytest.param([], False, id='nobody'),
     ],
 )
 def test_zone_has_a_version_only_when_all_were_told(
-    words: list[tuple[int, int]], arrived: bool
+    words: list[tuple[int, int, bool]], arrived: bool
 ) -> None:
-    spoken = [rollout.RelayWord('a', rev, count) for rev, count in words]
-    other = rollout.RelayWord('b', 1, 9)
+    spoken = [rollout.RelayWord('a', *word) for word in words]
+    other = rollout.RelayWord('b', 1, 9, True)
     assert rollout.of_zone('a', 3, [*spoken, other]).has(7) is arrived
 
 
