--- /dev/null
+++ b/bench/tables.py
@@ -0,0 +1,306 @@
+"""The tables of docs/measures/, from the results of the runs."""
+
+import json
+import pathlib
+from typing import Any
+
+from bench import figures
+
+RESULTS = pathlib.Path(__file__).parent / 'results'
+SIZES = ('12', '48', '100')
+TREE_RUN = '100-two-zones'
+
+
+def load(name: str) -> dict[str, Any]:
+    """Read a result; it must have been measured before."""
+    found: dict[str, Any] = json.loads((RESULTS / f'{name}.json').read_text())
+    return found
+
+
+def table(head: list[str], rows: list[list[str]]) -> list[str]:
+    lines = ['| ' + ' | '.join(head) + ' |', '|' + '---|' * len(head)]
+    return lines + ['| ' + ' | '.join(row) + ' |' for row in rows]
+
+
+def ms(seconds: float) -> str:
+    return f'{seconds * 1000:.0f}'
+
+
+def spreads(runs: dict[str, dict[str, Any]]) -> list[str]:
+    rows = []
+    for name, run in runs.items():
+        for what, key in (('text', 'text_s'), ('target', 'target_s')):
+            one = run[key]
+            rows.append(
+                [
+                    name,
+                    what,
+                    str(one['count']),
+                    ms(one['p50']),
+                    ms(one['p99']),
+                    ms(one['highest']),
+                    f'{run["circumstances"]["load_1_min"]:.1f}',
+                ]
+            )
+    head = ['daemons', 'change of', 'samples', 'p50 ms', 'p99 ms', 'max ms']
+    return table([*head, 'load before'], rows)
+
+
+def rates(runs: dict[str, dict[str, Any]]) -> list[str]:
+    rows = []
+    for name, run in runs.items():
+        for phase in ('idle', 'churn'):
+            for role, row in sorted(run[phase]['roles'].items()):
+                rows.append(
+                    [
+                        name,
+                        phase,
+                        f'{role} ({row["daemons"]})',
+                        f'{row["sent"]:.0f}',
+                        f'{row["received"]:.0f}',
+                        f'{row["bytes_max"]:.0f}',
+                        f'{row["cpu"] * 100:.2f}',
+                        f'{row["cpu_max"] * 100:.2f}',
+                    ]
+                )
+    return table(
+        [
+            'daemons',
+            'phase',
+            'role',
+            'sent B/s',
+            'received B/s',
+            'highest sum B/s',
+            'CPU % of a core',
+            'highest CPU %',
+        ],
+        rows,
+    )
+
+
+def store(runs: dict[str, dict[str, Any]]) -> list[str]:
+    rows = []
+    for name, run in runs.items():
+        idle, churn = run['idle'], run['churn']
+        rows.append(
+            [
+                name,
+                f'{idle["store_calls_per_s"]:.1f}',
+                f'{churn["store_calls_per_s"]:.1f}',
+                str(idle['watching']),
+                f'{run["resident_mib"]["p50"]:.0f}',
+                f'{run["resident_mib"]["highest"]:.0f}',
+            ]
+        )
+    return table(
+        [
+            'daemons',
+            'store calls/s idle',
+            'under churn',
+            'watches',
+            'resident MiB p50',
+            'max',
+        ],
+        rows,
+    )
+
+
+def lines() -> dict[str, figures.Line]:
+    """Return the lines fitted through the sizes of four zones."""
+    runs = [load(f'convergence-{size}') for size in SIZES]
+    counts = [float(run['daemons']) for run in runs]
+    values = {
+        'text p99, ms': [run['text_s']['p99'] * 1000 for run in runs],
+        'target p99, ms': [run['target_s']['p99'] * 1000 for run in runs],
+        'resident p50, MiB': [run['resident_mib']['p50'] for run in runs],
+        'store calls/s, idle': [
+            run['idle']['store_calls_per_s'] for run in runs
+        ],
+    }
+    for phase, role in (
+        ('idle', 'all'),
+        ('churn', 'leaf'),
+        ('churn', 'relay'),
+    ):
+        rows = [run[phase]['roles'][role] for run in runs]
+        label = f'{phase}, {role}'
+        values[f'control B/s a daemon, {label}'] = [
+            row['bytes_mean'] for row in rows
+        ]
+        values[f'CPU % a daemon, {label}'] = [row['cpu'] * 100 for row in rows]
+    values['reconcile B/s, asking side, idle'] = [
+        row['reconcile.sent-bytes'] + row['reconcile.received-bytes']
+        for row in (run['idle']['roles']['all'] for run in runs)
+    ]
+    return {name: figures.fit(counts, found) for name, found in values.items()}
+
+
+def slopes() -> list[str]:
+    rows = [
+        [name, f'{line.constant:.3f}', f'{line.slope:.5f}']
+        for name, line in lines().items()
+    ]
+    return table(['figure', 'constant', 'slope per daemon'], rows)
+
+
+EARLIER = (
+    ('fa20b9f, marks of all members', 'first/'),
+    ('768ecae, sums and beats', 'second/'),
+    ('now', ''),
+)
+
+
+def earlier() -> list[str]:
+    """Show what changes of the code did to the measures."""
+    rows = []
+    for name, folder in EARLIER:
+        runs = [load(f'{folder}convergence-{size}') for size in SIZES]
+        counts = [float(run['daemons']) for run in runs]
+        sums = [run['idle']['roles']['all']['bytes_mean'] for run in runs]
+        relay = runs[-1]['idle']['roles']['relay']
+        capacity = load(f'{folder}capacity')['fleet'][-1]
+        rows.append(
+            [
+                name,
+                ' / '.join(f'{one:.0f}' for one in sums),
+                f'{figures.fit(counts, sums).slope:.2f}',
+                f'{relay["cpu"] * 100:.2f}',
+                str(capacity['bytes']['digest']),
+                f'{runs[-1]["text_s"]["p99"] * 1000:.0f}',
+                f'{runs[-1]["circumstances"]["load_1_min"]:.0f}',
+            ]
+        )
+    head = [
+        'commit',
+        'idle control B/s at 12 / 48 / 100',
+        'slope a daemon',
+        'relay idle CPU % at 100',
+        'digest B at 5,200',
+        'text p99 ms at 100',
+        'load before',
+    ]
+    return table(head, rows)
+
+
+def message_cost() -> figures.Line:
+    """Fit processor time, ms a second, to link messages a second.
+
+    Through the daemons by role, idle, of the four sizes: what a message
+    sent, and the one received for it, costs a daemon.
+    """
+    xs, ys = [], []
+    for size in (*SIZES, TREE_RUN):
+        for role, row in load(f'convergence-{size}')['idle']['roles'].items():
+            if role != 'all':
+                xs.append(row['link.sent-messages'])
+                ys.append(row['cpu'] * 1000)
+    return figures.fit(xs, ys)
+
+
+def ways() -> list[str]:
+    run = load('ways-48')
+    rows = []
+    for name in ('tree', 'watch'):
+        one = run[name]
+        rows.append(
+            [
+                name,
+                ms(one['text_s']['p50']),
+                ms(one['text_s']['p99']),
+                ms(one['text_s']['highest']),
+                str(one['watches']),
+                f'{one["store_bytes_per_change"]:.0f}',
+                f'{one["link_bytes_per_change"]:.0f}',
+            ]
+        )
+    return table(
+        [
+            'way',
+            'p50 ms',
+            'p99 ms',
+            'max ms',
+            'watches on the store',
+            'bytes from the store a change',
+            'bytes between daemons a change',
+        ],
+        rows,
+    )
+
+
+def deltas() -> list[str]:
+    found = load('capacity')['config_bytes']
+    rows = [
+        [
+            name,
+            str(row['services']),
+            str(row['whole']),
+            str(row['delta_p50']),
+            str(row['delta_max']),
+            f'{row["whole"] / row["delta_p50"]:.0f}',
+        ]
+        for name, row in found.items()
+        if isinstance(row, dict)
+    ]
+    head = ['scope', 'services', 'whole B', 'delta p50 B', 'delta max B']
+    return table([*head, 'whole/delta'], rows)
+
+
+def framing() -> list[str]:
+    run = load('framing')
+    stream, rest = run['stream'], run['reconciliation']
+    rows = [
+        [
+            'a change on a stream',
+            f'{stream["payload_bytes_per_change"]:.0f} B',
+            f'{stream["stream_bytes_per_change"]:.0f} B',
+            f'{stream["with_headers_per_change"]:.0f} B',
+        ],
+        [
+            'an idle stream, a second',
+            f'{stream["idle_payload_bytes_per_s"]:.1f} B',
+            f'{stream["idle_stream_bytes_per_s"]:.1f} B',
+            f'{stream["idle_with_headers_per_s"]:.1f} B',
+        ],
+        [
+            f'a reconciliation of {rest["members"]} members',
+            f'{rest["payload_bytes_each"]:.0f} B',
+            f'{rest["stream_bytes_each"]:.0f} B',
+            f'{rest["with_headers_each"]:.0f} B',
+        ],
+        [
+            'a probe or its acknowledgement',
+            f'{_probe_bytes():.0f} B',
+            f'{_probe_bytes():.0f} B',
+            f'{_probe_bytes() + run["udp_header_bytes"]:.0f} B',
+        ],
+    ]
+    head = ['what', 'payload (counted)', 'TCP or UDP stream (measured)']
+    return table([*head, 'with IP headers (estimate)'], rows)
+
+
+def _probe_bytes() -> float:
+    row = load('convergence-100')['idle']['roles']['all']
+    return float(row['probe.sent-bytes'] / row['probe.sent-messages'])
+
+
+def path() -> list[str]:
+    run = load('path')
+    rows = []
+    for phase in ('open_loop', 'saturation'):
+        for name, row in run[phase].items():
+            rows.append(
+                [
+                    phase.replace('_', ' '),
+                    name,
+                    *(
+                        f'{row[f"{quantile}{suffix}"]:.2f}'
+                        for quantile in ('p50_ms', 'p99_ms')
+                        for suffix in ('', '_ratio', '_added')
+                    ),
+                    f'{row.get("calls_per_s", run["rate"]):.0f}',
+                ]
+            )
+    head = ['phase', 'way']
+    for quantile in ('p50', 'p99'):
+        head += [f'{quantile} ms', 'ratio', 'added ms']
+    return table([*head, 'calls/s'], rows)
