peridotd's parts stand in a package of their own, in the order they start

Each part is now a generator context manager under the kernel, tests add theirs to the list instead of replacing a private method.

--- a/bench/observed.py
+++ b/bench/observed.py
@@ -15,14 +15,14 @@
 
 from peridotpost.border import settings as settings_border
 from peridotpost.cli import common
-from peridotpost.cli import daemon
+from peridotpost.daemon import assembly
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import timeline
 
 MEMBER_EVENT = 'bench.member'
 
 
-def observe(one: daemon.Daemon) -> None:
+def observe(one: assembly.Daemon) -> None:
     """Record an event for each member's record that is new."""
     events = one.kernel.find('timeline', timeline.Timeline)
     replica = one.kernel.find('replica', replicas.Replica)
@@ -42,7 +42,7 @@
 
 async def serve(settings_path: pathlib.Path) -> int:
     """Run the daemon until SIGTERM, as ``peridotd`` does."""
-    one = daemon.Daemon(settings_border.load_settings(settings_path))
+    one = assembly.Daemon(settings_border.load_settings(settings_path))
     profile = os.environ.get('BENCH_PROFILE', '')
     profiler = cProfile.Profile() if profile else None
     async with common.stop_signal() as stop, one.running():
--- a/src/peridotpost/cli/peridotd.py
+++ b/src/peridotpost/cli/peridotd.py
@@ -8,8 +8,9 @@
 
 from peridotpost.border import settings as settings_border
 from peridotpost.cli import common
-from peridotpost.cli import daemon
+from peridotpost.daemon import assembly
 from peridotpost.kernel import logs
+from peridotpost.kernel import tasks
 
 
 @click.command(
@@ -36,11 +37,11 @@
     if given.log_level != 'off':
         logs.log_to()
     async with common.stop_signal() as stop:
-        await _run(daemon.Daemon(given), stop)
+        await _run(assembly.Daemon(given), stop)
     return common.EXIT_OK
 
 
-async def _run(one: daemon.Daemon, stop: asyncio.Event) -> None:
+async def _run(one: assembly.Daemon, stop: asyncio.Event) -> None:
     """Serve until `stop`, which may come before the start is over.
 
     A daemon that finds neither the store nor a peer waits for them; it has
@@ -55,8 +56,7 @@
             {starting, stopping}, return_when=asyncio.FIRST_COMPLETED
         )
         if not starting.done():
-            starting.cancel()
-            await asyncio.wait({starting})
+            await tasks.end(starting)
             return
         try:
             await starting
--- /dev/null
+++ b/src/peridotpost/daemon/base.py
@@ -0,0 +1,63 @@
+"""What every other part needs: counters, time, store, replica."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import random
+
+from peridotpost.border import settings as settings_border
+from peridotpost.distribution import replica as replicas
+from peridotpost.kernel import counters
+from peridotpost.kernel import registry
+from peridotpost.kernel import timeline
+from peridotpost.kernel import timers
+from peridotpost.model import config
+from peridotpost.platform import etcd
+
+STATSD_PERIOD_S = 1.0
+
+
+@contextlib.asynccontextmanager
+async def installed(kernel: registry.Kernel) -> AsyncIterator[None]:
+    """Register counters, timers, timeline, store and replica."""
+    given = kernel.find('settings', settings_border.DaemonSettings)
+    randomness = kernel.find('randomness', random.Random)
+    counts = counters.Counters()
+    with contextlib.ExitStack() as stack:
+        clock = stack.enter_context(timers.timer_service(randomness))
+        events = timeline.Timeline(given.host, clock.wall)
+        kernel.register('counters', counts)
+        kernel.register('timers', clock)
+        kernel.register('timeline', events)
+        if given.statsd is not None:
+            export = stack.enter_context(
+                _statsd(given.statsd, given.host, counts)
+            )
+            clock.subscribe('statsd', STATSD_PERIOD_S, export.flush)
+        store = stack.enter_context(
+            etcd.etcd_store(
+                given.store.endpoints,
+                given.store.timeout_s,
+                given.timing.watch_timeout_s,
+                counts,
+            )
+        )
+        kernel.register('store', store)
+        replica = replicas.Replica(
+            given.host,
+            config.Interest(ingress=given.ingress),
+            clock,
+            events,
+            counts,
+        )
+        kernel.register('replica', replica)
+        yield
+
+
+def _statsd(
+    given: settings_border.StatsdSettings,
+    host: str,
+    counts: counters.Counters,
+) -> contextlib.AbstractContextManager[counters.StatsdExport]:
+    return counters.statsd_export(
+        counts, given.address, given.port, f'peridotd.{host}'
+    )
--- /dev/null
+++ b/src/peridotpost/daemon/control.py
@@ -0,0 +1,136 @@
+"""The parts that carry configuration and membership."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import random
+import time
+
+from peridotpost.border import settings as settings_border
+from peridotpost.distribution import links
+from peridotpost.distribution import reconcile
+from peridotpost.distribution import replica as replicas
+from peridotpost.distribution import server
+from peridotpost.distribution import source as sources
+from peridotpost.distribution import uplinks
+from peridotpost.distribution import wire
+from peridotpost.kernel import counters
+from peridotpost.kernel import registry
+from peridotpost.kernel import timers
+from peridotpost.membership import myself as own
+from peridotpost.membership import probing
+from peridotpost.membership import seeds
+from peridotpost.model import members
+from peridotpost.platform import etcd
+
+NS_IN_MS = 1_000_000
+
+
+class ReplicaMembers:
+    """Shows the replica to the prober."""
+
+    def __init__(self, replica: replicas.Replica) -> None:
+        self.replica = replica
+
+    def record_of(self, host: str) -> members.MemberRecord | None:
+        return self.replica.fleet.records.get(host)
+
+    def live(self) -> list[members.MemberRecord]:
+        return list(self.replica.fleet.live())
+
+    def offer(self, record: members.MemberRecord) -> None:
+        self.replica.offer_member(record, 'probe')
+
+
+@contextlib.asynccontextmanager
+async def installed(kernel: registry.Kernel) -> AsyncIterator[None]:
+    """Open the control and probe ports; register what stands on them."""
+    given = kernel.find('settings', settings_border.DaemonSettings)
+    incarnation = time.time_ns() // NS_IN_MS
+    servicer = _add_links(kernel, incarnation)
+    prober = _add_prober(kernel)
+    async with (
+        server.serving(
+            servicer, given.address, given.listen.control_port
+        ) as control_port,
+        probing.listening(
+            prober, given.address, given.listen.probe_port
+        ) as probe_port,
+    ):
+        record = members.MemberRecord(
+            host=given.host,
+            availability_zone=given.availability_zone,
+            incarnation=incarnation,
+            status=members.Status.ALIVE,
+            sequence=1,
+            address=given.address,
+            control_port=control_port,
+            probe_port=probe_port,
+            call_port=0,
+            admin_port=0,
+        )
+        kernel.register('myself', own.Myself(record))
+        _add_sources(kernel)
+        yield
+
+
+def _add_links(
+    kernel: registry.Kernel, incarnation: int
+) -> server.ControlServicer:
+    given = kernel.find('settings', settings_border.DaemonSettings)
+    replica = kernel.find('replica', replicas.Replica)
+    counts = kernel.find('counters', counters.Counters)
+    table = links.LinkTable(replica, incarnation, given.availability_zone)
+    kernel.register('links', table)
+    servicer = server.ControlServicer(replica, table, counts)
+    kernel.register('control', servicer)
+    return servicer
+
+
+def _add_prober(kernel: registry.Kernel) -> probing.Prober:
+    given = kernel.find('settings', settings_border.DaemonSettings)
+    prober = probing.Prober(
+        given.host,
+        given.availability_zone,
+        ReplicaMembers(kernel.find('replica', replicas.Replica)),
+        kernel.find('timers', timers.TimerService),
+        kernel.find('counters', counters.Counters),
+        kernel.find('randomness', random.Random),
+        given.timing.probe_period_s,
+        given.timing.probe_timeout_s,
+        given.timing.suspicion_s,
+    )
+    prober.encode = wire.member_to_wire
+    prober.decode = wire.member_from_wire
+    kernel.register('prober', prober)
+    return prober
+
+
+def _add_sources(kernel: registry.Kernel) -> None:
+    """Register all from which facts come: uplinks, peers, the store."""
+    given = kernel.find('settings', settings_border.DaemonSettings)
+    replica = kernel.find('replica', replicas.Replica)
+    counts = kernel.find('counters', counters.Counters)
+    randomness = kernel.find('randomness', random.Random)
+    store = kernel.find('store', etcd.EtcdStore)
+    zone = given.availability_zone
+    ups = uplinks.Uplinks(
+        replica,
+        kernel.find('links', links.LinkTable),
+        counts,
+        zone,
+        randomness,
+    )
+    ups.ping = kernel.find('prober', probing.Prober).answers
+    kernel.register('uplinks', ups)
+    kernel.register(
+        'reconciler', reconcile.Reconciler(replica, counts, zone, randomness)
+    )
+    source = sources.Source(store, given.mesh, replica, counts, randomness)
+    kernel.register('source', source)
+    ups.on_place.append(source.follow_place)
+    kernel.register(
+        'seeds',
+        seeds.SeedKeeper(
+            store, given.mesh, given.timing.seed_period_s, counts
+        ),
+    )
--- a/src/peridotpost/decisions/seeds.py
+++ b/src/peridotpost/decisions/seeds.py
@@ -58,14 +58,12 @@
         return self.randomness.uniform(0, spreads * self.spread_s)
 
 
-def looks_for_others(renewals: int, alone: bool) -> bool:
+def looks_for_others(renewals: int) -> bool:
     """Whether a daemon that keeps a record reads all records now.
 
     :param renewals: how often it has renewed or written its own so far.
     """
-    if alone or renewals < FIRST_LOOKS:
-        return True
-    return renewals % LOOK_EVERY == 0
+    return renewals < FIRST_LOOKS or renewals % LOOK_EVERY == 0
 
 
 def is_due(
--- a/src/peridotpost/kernel/registry.py
+++ b/src/peridotpost/kernel/registry.py
@@ -1,15 +1,10 @@
 """The registry in which services of a process find each other by name."""
 
-from collections.abc import AsyncIterator
-from collections.abc import Callable
-import contextlib
-from typing import Any
 from typing import TypeVar
 
 from peridotpost.model import errors
 
 ServiceT = TypeVar('ServiceT')
-Resource = Callable[['Kernel'], contextlib.AbstractAsyncContextManager[Any]]
 
 
 class Kernel:
@@ -44,18 +39,3 @@
                 step='kernel.find',
             )
         return service
-
-
-@contextlib.asynccontextmanager
-async def running(
-    kernel: Kernel, resources: list[tuple[str, Resource]]
-) -> AsyncIterator[Kernel]:
-    """Start `resources` in order, each seeing those before it.
-
-    They are stopped in the opposite order, also when one fails to start.
-    """
-    async with contextlib.AsyncExitStack() as stack:
-        for name, resource in resources:
-            service = await stack.enter_async_context(resource(kernel))
-            kernel.register(name, service)
-        yield kernel
--- a/testing/zones.py
+++ b/testing/zones.py
@@ -15,13 +15,15 @@
 
 from peridotpost.border import settings as settings_border
 from peridotpost.border import text as text_border
-from peridotpost.cli import daemon as daemons
+from peridotpost.daemon import assembly
+from peridotpost.daemon import control
 from peridotpost.distribution import dialling
 from peridotpost.distribution import links
 from peridotpost.distribution import reconcile
 from peridotpost.distribution import replica as replicas
 from peridotpost.distribution import uplinks
 from peridotpost.kernel import counters
+from peridotpost.kernel import registry
 from peridotpost.kernel import timers
 from peridotpost.membership import myself as own
 from peridotpost.model import errors
@@ -51,7 +53,7 @@
         self.stack = stack
         self.platforms: dict[str, platform_standin.Platform] = {}
         self.endpoints: dict[str, str] = {}
-        self.daemons: dict[str, daemons.Daemon] = {}
+        self.daemons: dict[str, assembly.Daemon] = {}
         self.zone_at: dict[str, str] = {}
         self.cuts: set[frozenset[str]] = set()
         self.stream_cuts: set[frozenset[str]] = set()
@@ -84,26 +86,31 @@
         }
         settings = settings_border.DaemonSettings.model_validate(plain)
         settings = settings.model_copy(update={'timing': TIMING})
-        one = daemons.Daemon(settings, seed=len(self.daemons))
+        one = assembly.Daemon(settings, seed=len(self.daemons))
         self.daemons[host] = one
-        base = one._start_control
-
-        async def start_control(stack: contextlib.AsyncExitStack) -> None:
-            await base(stack)
-            ups = one.kernel.find('uplinks', uplinks.Uplinks)
-            asks = one.kernel.find('reconciler', reconcile.Reconciler)
-            ups.dial = self.dial_from(zone, self.stream_cuts)
-            asks.dial = self.dial_from(zone, self.cuts)
-            record = one.kernel.find('myself', own.Myself).record
-            self.zone_at[record.control_address] = zone
-
-        one._start_control = start_control  # type: ignore[method-assign]
+        after_control = one.parts.index(control.installed) + 1
+        one.parts.insert(after_control, self.cuttable(zone))
         await self.stack.enter_async_context(one.running())
         self.lowest[host] = self.revision(host)
         self.replica(host).changed.subscribe(
             lambda _: self._check_not_lower(host)
         )
 
+    def cuttable(self, zone: str) -> assembly.Part:
+        """Return a part that dials only where no cut is."""
+
+        @contextlib.asynccontextmanager
+        async def installed(kernel: registry.Kernel) -> AsyncIterator[None]:
+            ups = kernel.find('uplinks', uplinks.Uplinks)
+            asks = kernel.find('reconciler', reconcile.Reconciler)
+            ups.dial = self.dial_from(zone, self.stream_cuts)
+            asks.dial = self.dial_from(zone, self.cuts)
+            record = kernel.find('myself', own.Myself).record
+            self.zone_at[record.control_address] = zone
+            yield
+
+        return installed
+
     def _check_not_lower(self, host: str) -> None:
         revision = self.revision(host)
         assert revision >= self.lowest[host]
