--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -120,6 +120,7 @@
         'cpu_ms': {
             'compile_table_relay': cpu_ms(lambda: _compile(one)),
             'compile_table_leaf': cpu_ms(lambda: _compile(leaf)),
+            'table_after_one_member': cpu_ms(lambda: _recompile(one)),
             'plan_as_relay': cpu_ms(lambda: _plan(one, True)),
             'plan_as_leaf': cpu_ms(lambda: _plan(one, False)),
             'seeds_due': cpu_ms(lambda: _seeds_due(one)),
@@ -154,6 +155,13 @@
     routing.compile_table(one.version, one.fleet.live())
 
 
+def _recompile(one: replicas.Replica) -> None:
+    """Do what the first call after a member's change waits for."""
+    record = next(iter(one.fleet.records.values()))
+    one.tables.member_changed(record, record)
+    one.tables.current(one.version)
+
+
 def _seeds_due(one: replicas.Replica) -> None:
     """Do what each daemon does to know whether it keeps a seed record."""
     hosts = one.fleet.live_hosts('zone-00')
--- a/src/peridotpost/decisions/pacing.py
+++ b/src/peridotpost/decisions/pacing.py
@@ -48,9 +48,11 @@
 class JoinLimit:
     """Token bucket for new streams at a parent, with slots to come back.
 
-    A join costs the parent a whole configuration to encode, some
-    milliseconds; 40 a second keep that under a fifth of a core during a
-    storm while 16 children are taken in at once.
+    A child that comes back with what it held costs its parent under a
+    millisecond, and 40 a second take in a zone's children in a second or
+    two.  A child that knows nobody costs 70 to 100 ms at 5,200 members
+    (``bench.capacity``): a herd of those takes a core of each parent for
+    as long as it lasts, one or two seconds for the 16 that it has.
 
     Each that is refused gets a later slot than the one before.  With one
     and the same time for all, a storm of 400 would come back as 400
--- a/src/peridotpost/distribution/replica.py
+++ b/src/peridotpost/distribution/replica.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from peridotpost.decisions import fleet as fleet_rules
+from peridotpost.decisions import tables
 from peridotpost.decisions import versions
 from peridotpost.kernel import counters
 from peridotpost.kernel import hooks
@@ -46,8 +47,7 @@
         self.counts = counts
         self.holding = versions.NOTHING_HELD
         self.fleet = fleet_rules.Fleet()
-        self.compiled = routing.EMPTY_TABLE
-        self.stale_table = False
+        self.tables = tables.TableCompiler()
         self.changed: hooks.Hook[FactChange] = hooks.Hook('fact.changed')
         self.interest_changed: hooks.Hook[config.Interest] = hooks.Hook(
             'interest.changed'
@@ -78,12 +78,7 @@
         A herd of thousands that joins changes it as often; compiling at
         the next call instead of at each change does the work once.
         """
-        if self.stale_table:
-            self.compiled = routing.compile_table(
-                self.version, self.fleet.live()
-            )
-            self.stale_table = False
-        return self.compiled
+        return self.tables.current(self.version)
 
     def set_interest(self, interest: config.Interest) -> None:
         """Hold another scope from now on; a wider one must be fetched."""
@@ -91,7 +86,6 @@
             return
         self.interest = interest
         self.holding = versions.narrowed(self.holding, interest)
-        self.stale_table = True
         self.interest_changed.fire(interest)
 
     def offer_config(
@@ -120,7 +114,7 @@
             return False
         self.counts.add('member.applied')
         self._note_member(before, record)
-        self.stale_table = True
+        self.tables.member_changed(before, record)
         self.changed.fire(FactChange(source, member=record))
         return True
 
@@ -128,7 +122,6 @@
         before = self.version.revision
         self.holding = holding
         version = holding.version
-        self.stale_table = True
         self.events.record(
             'config.in-force', source, revision=version.revision
         )
--- a/src/peridotpost/model/routing.py
+++ b/src/peridotpost/model/routing.py
@@ -52,31 +52,36 @@
 def compile_table(
     version: config.ConfigVersion, fleet: Iterable[members.MemberRecord]
 ) -> RoutingTable:
-    """Build the table for `version` over the live members of `fleet`.
+    """Build the whole table for `version` over the live members of `fleet`.
+
+    ``decisions.tables`` keeps it up; this is what it must come to.
 
     :raises DanglingRoute: the result breaks its own invariant.
     """
-    found: dict[str, list[Endpoint]] = {name: [] for name in version.services}
-    held: set[str] = set()
-    for member in fleet:
-        if not member.live:
-            continue
-        held.add(member.host)
-        for target in member.targets:
-            if target.service not in found:
-                continue
-            if target.state is members.TargetState.DRAINING:
-                continue
-            found[target.service].append(_endpoint(member, target))
+    live = [member for member in fleet if member.live]
     routes = {
-        name: Route(version.services[name], tuple(endpoints))
-        for name, endpoints in found.items()
+        name: route_over(spec, live) for name, spec in version.services.items()
     }
     table = RoutingTable(version.revision, routes)
-    check_no_dangling(table, version, held)
+    check_no_dangling(table, version, {member.host for member in live})
     return table
 
 
+def route_over(
+    spec: config.ServiceSpec, live: Iterable[members.MemberRecord]
+) -> Route:
+    """Return the route to those of the `live` members that take calls."""
+    endpoints = [
+        _endpoint(member, target)
+        for member in live
+        for target in member.targets
+        if target.service == spec.name
+        and target.state is not members.TargetState.DRAINING
+    ]
+    endpoints.sort(key=lambda one: (one.host, one.name))
+    return Route(spec, tuple(endpoints))
+
+
 def _endpoint(
     member: members.MemberRecord, target: members.TargetRecord
 ) -> Endpoint:
