--- a/src/peridotpost/calls/views.py
+++ b/src/peridotpost/calls/views.py
@@ -122,6 +122,14 @@
             if not await self._read():
                 await self._ask_peer()
                 return
+        now_ms = self.now_ms()
+        if self.current is not None and not ownership.is_due(
+            self.current, now_ms, self.lead_ms, 0
+        ):
+            # Not even the first writer's turn: going through 5,200
+            # members to learn whose it is would cost each daemon
+            # milliseconds every second.
+            return
         live = self._live()
         writers = ownership.writers(live)
         if self.replica.host in writers:
