--- a/testing/test_call_invariants.py
+++ b/testing/test_call_invariants.py
@@ -64,7 +64,10 @@
     told: dict[str, callpath.Reply] = {}
 
     async def call(number: int, port: int) -> None:
-        service = randomness.choice(['read', 'write'])
+        # Refusals by the guards come and go with the timing of the run;
+        # those for want of a service come in each run.
+        known = number % 25 > 0
+        service = randomness.choice(['read', 'write']) if known else 'none'
         path = f'/{service}/{number}'
         headers = []
         if randomness.random() < 0.2:
