--- a/src/peridotpost/cli/subcommands/options.py
+++ b/src/peridotpost/cli/subcommands/options.py
@@ -66,3 +66,10 @@
     type=click.IntRange(min=0),
     help='Version this text was written on; without it, the one in force.',
 )
+wait_option = click.option(
+    '--wait-revision',
+    default=0,
+    type=click.IntRange(min=0),
+    help='Wait until it is in force on all that are asked about.',
+)
+within_option = click.option('--within-s', default=10.0, show_default=True)
--- a/src/peridotpost/cli/subcommands/rollout.py
+++ b/src/peridotpost/cli/subcommands/rollout.py
@@ -24,13 +24,8 @@
     '--wait-revision 41 --within-s 4'
 )
 @options.daemons_option
-@click.option(
-    '--wait-revision',
-    default=0,
-    type=click.IntRange(min=0),
-    help='Wait until it is in force on every live daemon.',
-)
-@click.option('--within-s', default=10.0, show_default=True)
+@options.wait_option
+@options.within_option
 @options.json_option
 def rollout(
     daemons: tuple[str, ...],
--- a/src/peridotpost/daemon/calls.py
+++ b/src/peridotpost/daemon/calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import random
 
 from peridotpost.admin import pages
@@ -26,6 +27,30 @@
 EGRESS_ADDRESS = '127.0.0.1'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entrance:
+    """A port for HTTP requests: of callers, or of this host's targets."""
+
+    name: str
+    address: str
+    port: int
+    setting: str
+    for_targets: bool
+
+
+def _entrances(given: settings_border.DaemonSettings) -> list[Entrance]:
+    listen = given.listen
+    for_targets = Entrance(
+        'egress', EGRESS_ADDRESS, listen.egress_port, 'egress_port', True
+    )
+    if not given.ingress:
+        return [for_targets]
+    for_callers = Entrance(
+        'ingress', given.address, listen.caller_port, 'caller_port', False
+    )
+    return [for_callers, for_targets]
+
+
 @contextlib.asynccontextmanager
 async def installed(kernel: registry.Kernel) -> AsyncIterator[None]:
     """Open the ports for calls and the admin page."""
@@ -36,9 +61,8 @@
         stack.push_async_callback(streams.close)
         router = _add_router(kernel, guard, streams)
         call_port = await _serve_peers(kernel, stack, router, streams)
-        if given.ingress:
-            await _serve_callers(kernel, stack, router)
-        await _serve_targets(kernel, stack, router)
+        for entrance in _entrances(given):
+            await _serve_requests(kernel, stack, router, entrance)
         admin_port = await stack.enter_async_context(
             pages.serving(kernel, given.address, given.listen.admin_port)
         )
@@ -140,32 +164,17 @@
     return owner
 
 
-async def _serve_callers(
+async def _serve_requests(
     kernel: registry.Kernel,
     stack: contextlib.AsyncExitStack,
     router: routers.Router,
+    entrance: Entrance,
 ) -> None:
-    given = kernel.find('settings', settings_border.DaemonSettings)
-    ingress = _ingress(kernel, router, for_targets=False)
-    kernel.register('ingress', ingress)
-    await stack.enter_async_context(
-        ingresses.serving(
-            ingress, given.address, given.listen.caller_port, 'caller_port'
-        )
-    )
-
-
-async def _serve_targets(
-    kernel: registry.Kernel,
-    stack: contextlib.AsyncExitStack,
-    router: routers.Router,
-) -> None:
-    given = kernel.find('settings', settings_border.DaemonSettings)
-    egress = _ingress(kernel, router, for_targets=True)
-    kernel.register('egress', egress)
+    ingress = _ingress(kernel, router, for_targets=entrance.for_targets)
+    kernel.register(entrance.name, ingress)
     await stack.enter_async_context(
         ingresses.serving(
-            egress, EGRESS_ADDRESS, given.listen.egress_port, 'egress_port'
+            ingress, entrance.address, entrance.port, entrance.setting
         )
     )
 
