--- a/Makefile
+++ b/Makefile
@@ -9,12 +9,20 @@
 
 env: $(VENV)/.installed
 
-$(VENV)/.installed: pyproject.toml constraints.txt
+INSTALL := $(BIN)/pip install --quiet --disable-pip-version-check \
+	--constraint constraints.txt --editable
+
+# What the programs need, and what the checks need besides.
+$(VENV)/.runtime: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check --constraint constraints.txt --editable '.[test]'
+	$(INSTALL) .
+	touch $@
+
+$(VENV)/.installed: $(VENV)/.runtime
+	$(INSTALL) '.[test]'
 	touch $@
 
-demo: env
+demo: $(VENV)/.runtime
 	BIN=$(BIN) TEXT=$(TEXT) bash demo/run.sh
 
 test: env
