--- a/src/peridotpost/decisions/selection.py
+++ b/src/peridotpost/decisions/selection.py
@@ -12,16 +12,19 @@
   way, whichever is more.
 - The own zone is used as long as its best target is expected to answer
   within ``OWN_ZONE_SHARE`` of what is left of the objective; a crossing
-  then buys nothing for the caller.
-- Else all targets are compared, crossing priced with ``CROSSING_S``.
+  then buys next to nothing for the caller.
+- Else all targets are compared, and another zone is used only for one
+  that takes less than ``WORTH_CROSSING`` of the own zone's time.
 - A target that fails what it takes is put back by the time that a failure
   costs the caller; one request in ``TRIAL_EVERY`` still goes there first,
   as its recovery would else never be seen.
 - Cold targets count as slower by ``COLD_FACTOR``.
 
-Grounds: runs spread by about their mean, so an expectation within two
-thirds of the objective meets it most of the time; a report is old after a
-few runs, hence its half-life; the rest is stated at each figure.
+Grounds: a crossed request costs bytes worth as much as it is itself where
+these are dear, so it has to turn a miss into a hit; runs spread by about
+their mean, so an expectation short of the objective is met by most; a
+report is old after a few runs, hence its half-life; the rest is stated at
+each figure.
 """
 
 from collections.abc import Collection
@@ -29,10 +32,10 @@
 import dataclasses
 import random
 
-OWN_ZONE_SHARE = 0.65
-CROSSING_S = 0.01
-"""Some times the way there and back, so that zones of equal load do not
-swap their requests."""
+OWN_ZONE_SHARE = 0.9
+WORTH_CROSSING = 0.7
+DRAW_POWER = 3
+"""A target that takes twice as long gets an eighth of the requests."""
 REPORT_HALF_LIFE_S = 0.5
 FIRST_RUN_S = 0.06
 COLD_FACTOR = 2.0
@@ -132,13 +135,29 @@
             if shunned:
                 return self.randomness.choice(shunned)
         own = [one for one in usable if one.availability_zone == self.zone]
-        if own:
-            best = min(own, key=lambda one: one.expected_s(now))
-            if best.expected_s(now) <= OWN_ZONE_SHARE * objective_left_s:
-                return best
-        return min(usable, key=lambda one: self._cost(one, now))
-
-    def _cost(self, one: Candidate, now: float) -> float:
-        crossing = 0.0 if one.availability_zone == self.zone else CROSSING_S
-        jitter = 1 + 0.1 * self.randomness.random()
-        return one.expected_s(now) * jitter + crossing
+        if not own:
+            return self._draw(usable, now)
+        best = self._draw(own, now)
+        expected_s = best.expected_s(now)
+        if expected_s <= OWN_ZONE_SHARE * objective_left_s:
+            return best
+        best = min(own, key=lambda one: one.expected_s(now))
+        expected_s = best.expected_s(now)
+        if expected_s <= OWN_ZONE_SHARE * objective_left_s:
+            return best
+        best_far = self._draw(usable, now)
+        if best_far.expected_s(now) < WORTH_CROSSING * expected_s:
+            return best_far
+        return best
+
+    def _draw(self, among: list[Candidate], now: float) -> Candidate:
+        """Draw a target, the faster ones more often.
+
+        All ingresses see much the same figures; with the fastest taken
+        each time they would rush there together, and a target that just
+        joined would never get the first requests that show its speed.
+        """
+        if len(among) == 1:
+            return among[0]
+        weights = [one.expected_s(now) ** -DRAW_POWER for one in among]
+        return self.randomness.choices(among, weights)[0]
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -244,7 +244,7 @@
         while not tasks.cancelled():
             await asyncio.sleep(peers.SWEEP_S)
             self.directory.sweep()
-            if not self.versions.version or self.feed.reachable is False:
+            if self.feed.reachable is False:
                 self._ask_peers()
 
     def _ask_peers(self) -> None:
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -167,8 +167,13 @@
 
     # Streams.
 
-    def hello(self) -> frames.Hello:
-        return _hello(self.own, self.version)
+    def hello(self, compressed: bool) -> frames.Hello:
+        told = _hello(self.own, self.version)
+        told.compressed = compressed
+        return told
+
+    def is_far(self, availability_zone: str) -> bool:
+        return availability_zone != self.own.availability_zone
 
     def met(self, stream: peers.PeerStream, told: frames.Hello) -> None:
         if stream.dialled:
@@ -214,6 +219,12 @@
         for stream in self.accepted:
             stream.send(frame)
 
+    def tell_zone(self, frame: frames.Frame) -> None:
+        """Send a frame to the daemons of the own zone."""
+        for stream in self.accepted:
+            if not self.is_far(stream.zone):
+                stream.send(frame)
+
     def streams(self) -> list[peers.PeerStream]:
         found = list(self.accepted)
         found += [one.stream for one in self.peers.values() if one.stream]
@@ -244,7 +255,7 @@
 
     def accept(self) -> peers.PeerStream:
         """Return the protocol of a stream that another daemon opens."""
-        return peers.PeerStream(self, self.guard, False)
+        return peers.PeerStream(self, self.guard)
 
     def _forget(self, host: str, peer: Peer) -> None:
         if peer.dialling is not None:
@@ -259,9 +270,7 @@
     async def _dial(self, peer: Peer) -> None:
         record = peer.record
         try:
-            stream = await peers.dial(
-                self, self.guard, record.address, record.port
-            )
+            stream = await peers.dial(self, self.guard, record)
         except OSError:
             self.counts.add('peers.dial-failed')
             spread = 0.5 + self.randomness.random()
@@ -312,7 +321,7 @@
 
     def _known(self, stream: peers.PeerStream, told: frames.Known) -> None:
         if not told.hosts:
-            stream.send(frames.Known([self.hello(), *self.hosts()]))
+            stream.send(frames.Known([self.hello(False), *self.hosts()]))
             return
         for one in told.hosts:
             self.learn(
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -15,9 +15,12 @@
 from peridotpost.proxy import frames
 from peridotpost.proxy import peers
 
-FETCH_AFTER_S = 0.25
+FETCH_AFTER_S = 0.3
 """How long a version that a peer told of may take to come from the store,
 whose answers take some milliseconds; less would fetch each one twice."""
+FETCH_FAR_AFTER_S = 0.7
+"""The same where the peer is in another zone: the own zone is asked first,
+and a version still is in force well within two seconds."""
 
 Decode = Callable[[bytes], mesh.MeshConfig]
 
@@ -79,11 +82,13 @@
         self.log.state(
             'config', before=before, version=config.version, source=source
         )
-        self.directory.broadcast(frames.Version(config.version))
+        # Other zones hear of it with the next ping: they have the store
+        # and each other, and every packet between zones is paid for.
+        self.directory.tell_zone(frames.Version(config.version))
         return True
 
     def _met(self, stream: peers.PeerStream) -> None:
-        if self.version:
+        if self.version and not self.directory.is_far(stream.zone):
             stream.send(frames.Version(self.version))
 
     def _noticed(self, notice: directories.Notice) -> None:
@@ -91,12 +96,9 @@
         if isinstance(frame, frames.Version):
             if frame.version > self.version:
                 loop = asyncio.get_running_loop()
-                loop.call_later(
-                    FETCH_AFTER_S if self.version else 0.0,
-                    self._fetch,
-                    stream,
-                    frame.version,
-                )
+                far = self.directory.is_far(stream.zone)
+                pause_s = FETCH_FAR_AFTER_S if far else FETCH_AFTER_S
+                loop.call_later(pause_s, self._fetch, stream, frame.version)
         elif isinstance(frame, frames.Fetch):
             if self.version > frame.version:
                 stream.send(frames.Config(self.version, self.raw))
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -5,10 +5,14 @@
 """
 
 import struct
+import zlib
 
 import msgspec
 
 LENGTH = struct.Struct('>I')
+COMPRESSION_LEVEL = 5
+WINDOW_BITS = 12
+MEMORY_LEVEL = 5
 MAX_FRAME = 80 * 1024 * 1024
 """A body at its limit and its head; more is a broken stream."""
 
@@ -84,7 +88,11 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=7):
-    """First frame of each side."""
+    """First frame of each side.
+
+    :param compressed: whether all that follows this frame is one deflate
+        stream, flushed after each write.
+    """
 
     host: str
     availability_zone: str
@@ -92,6 +100,7 @@
     port: int
     incarnation: int
     version: int
+    compressed: bool = False
 
 
 class Version(msgspec.Struct, array_like=True, tag=8):
@@ -121,13 +130,16 @@
 
 
 class Ping(msgspec.Struct, array_like=True, tag=12):
-    """Asks for a sign of life."""
+    """Asks for a sign of life; tells the sender's version."""
+
+    version: int
 
 
 class Pong(msgspec.Struct, array_like=True, tag=13):
     """A sign of life."""
 
     load: int
+    version: int
 
 
 class Known(msgspec.Struct, array_like=True, tag=14):
@@ -166,11 +178,23 @@
     return LENGTH.pack(len(raw)) + raw
 
 
+def deflater() -> 'zlib._Compress':
+    """Return a compressor for the rest of a stream.
+
+    Header lines repeat from request to request; a window of 4 KB holds
+    several, and compressor and window together take 32 KB.
+    """
+    return zlib.compressobj(
+        COMPRESSION_LEVEL, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL
+    )
+
+
 class FrameReader:
     """Cuts a byte stream into frames."""
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        self.inflater: zlib._Decompress | None = None
 
     def feed(self, data: bytes) -> list[Frame]:
         """Return the frames that are whole now.
@@ -178,24 +202,39 @@
         :raises BadFrame: the stream makes no sense from here on.
         """
         buffer = self.buffer
-        buffer += data
+        buffer += self._inflated(data)
         found: list[Frame] = []
-        start = 0
-        end = len(buffer)
-        while end - start >= LENGTH.size:
-            (size,) = LENGTH.unpack_from(buffer, start)
-            if size > MAX_FRAME:
-                raise BadFrame(f'frame of {size} bytes')
-            first = start + LENGTH.size
-            if end - first < size:
-                break
-            try:
-                found.append(
-                    DECODER.decode(memoryview(buffer)[first : first + size])
-                )
-            except msgspec.MsgspecError as error:
-                raise BadFrame(str(error)) from error
-            start = first + size
-        if start:
-            del buffer[:start]
-        return found
+        while True:
+            frame, used = self._next(buffer)
+            if frame is None:
+                return found
+            del buffer[:used]
+            found.append(frame)
+            if type(frame) is Hello and frame.compressed:
+                self.inflater = zlib.decompressobj(-WINDOW_BITS)
+                rest = bytes(buffer)
+                buffer.clear()
+                buffer += self._inflated(rest)
+
+    def _inflated(self, data: bytes) -> bytes:
+        if self.inflater is None:
+            return data
+        try:
+            return self.inflater.decompress(data)
+        except zlib.error as error:
+            raise BadFrame(str(error)) from error
+
+    def _next(self, buffer: bytearray) -> tuple[Frame | None, int]:
+        """Return the first frame, if it is whole, and its length."""
+        if len(buffer) < LENGTH.size:
+            return None, 0
+        (size,) = LENGTH.unpack_from(buffer)
+        if size > MAX_FRAME:
+            raise BadFrame(f'frame of {size} bytes')
+        end = LENGTH.size + size
+        if len(buffer) < end:
+            return None, 0
+        try:
+            return DECODER.decode(bytes(buffer[LENGTH.size : end])), end
+        except msgspec.MsgspecError as error:
+            raise BadFrame(str(error)) from error
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -6,6 +6,7 @@
 import socket
 from typing import cast
 from typing import Protocol
+import zlib
 
 from peridotpost.model import forwarding
 from peridotpost.model import instances
@@ -26,6 +27,8 @@
 that only is slow to still bring its answers."""
 IDLE_PING_S = 2.0
 """Pause between pings on a stream that carries nothing."""
+FAR_IDLE_PING_S = 5.0
+"""The same to another zone, where each packet is paid for."""
 SWEEP_S = 0.1
 MAX_BUFFERED = 32 * 1024 * 1024
 """Bytes that a peer that does not read may hold of our memory."""
@@ -34,9 +37,14 @@
 class Neighbour(Protocol):
     """What a stream's owner does with frames that are not of calls."""
 
-    def hello(self) -> frames.Hello:
+    version: int
+
+    def hello(self, compressed: bool) -> frames.Hello:
         """Return what is told first."""
 
+    def is_far(self, availability_zone: str) -> bool:
+        """Whether bytes to that zone are dear."""
+
     def met(self, stream: 'PeerStream', told: frames.Hello) -> None:
         """The other side said who it is."""
 
@@ -50,15 +58,19 @@
 class PeerStream(asyncio.Protocol):
     """One TCP stream to another daemon; writes go out once a loop turn.
 
-    :param dialled: whether this side opened it, and so sends dispatches.
+    :param zone: the other side's, where this side dialled and so sends
+        dispatches; None where the other side did.
     """
 
     def __init__(
-        self, owner: Neighbour, guard: guards.Guard, dialled: bool
+        self, owner: Neighbour, guard: guards.Guard, zone: str | None = None
     ) -> None:
         self.owner = owner
         self.guard = guard
-        self.dialled = dialled
+        self.dialled = zone is not None
+        self.zone = zone or ''
+        self.deflater: zlib._Compress | None = None
+        self.idle_ping_s = IDLE_PING_S
         self.reader = frames.FrameReader()
         self.transport: asyncio.Transport | None = None
         self.pending: list[bytes] = []
@@ -79,7 +91,17 @@
         opened = transport.get_extra_info('socket')
         if opened is not None:
             opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.send(self.owner.hello())
+        if self.dialled:
+            self._greet()
+
+    def _greet(self) -> None:
+        """Say who this is; what follows to another zone is compressed."""
+        far = self.owner.is_far(self.zone)
+        assert self.transport is not None
+        self.transport.write(frames.encode(self.owner.hello(far)))
+        if far:
+            self.deflater = frames.deflater()
+            self.idle_ping_s = FAR_IDLE_PING_S
 
     def send(self, frame: frames.Frame) -> None:
         """Queue a frame for the end of this turn of the loop."""
@@ -99,9 +121,11 @@
             return
         pending = self.pending
         self.pending = []
-        self.transport.write(
-            pending[0] if len(pending) == 1 else b''.join(pending)
-        )
+        raw = pending[0] if len(pending) == 1 else b''.join(pending)
+        if self.deflater is not None:
+            raw = self.deflater.compress(raw)
+            raw += self.deflater.flush(zlib.Z_SYNC_FLUSH)
+        self.transport.write(raw)
 
     def dispatch(self, order: forwarding.Order) -> None:
         """Send an order to the other side's guard."""
@@ -164,16 +188,25 @@
             if order is not None:
                 self.guard.cancel(order)
         elif kind is frames.Ping:
-            self.send(frames.Pong(self._load()))
+            told = cast(frames.Ping, frame).version
+            self.send(frames.Pong(self._load(), self.owner.version))
+            self.owner.notice(self, frames.Version(told))
         elif kind is frames.Pong:
-            self._note_load(cast(frames.Pong, frame).load, 0)
+            pong = cast(frames.Pong, frame)
+            self._note_load(pong.load, 0)
+            self.owner.notice(self, frames.Version(pong.version))
         elif kind is frames.Hello:
-            told = cast(frames.Hello, frame)
-            self.host = told.host
-            self.owner.met(self, told)
+            self._met(cast(frames.Hello, frame))
         else:
             self.owner.notice(self, frame)
 
+    def _met(self, told: frames.Hello) -> None:
+        self.host = told.host
+        if not self.dialled:
+            self.zone = told.availability_zone
+            self._greet()
+        self.owner.met(self, told)
+
     def _dispatched(self, told: frames.Dispatch) -> None:
         now = deadlines.now()
         number = told.number
@@ -275,10 +308,10 @@
         quiet_since = self.received_at
         if self.sent:
             quiet_since = max(quiet_since, self.owed_since)
-        bound = SILENCE_S if self.sent else IDLE_PING_S
+        bound = SILENCE_S if self.sent else self.idle_ping_s
         if self.dialled and now - quiet_since > bound:
             self.pinged_at = now
-            self.send(frames.Ping())
+            self.send(frames.Ping(self.owner.version))
 
     def _give_up_idempotent(self) -> None:
         for number, order in list(self.sent.items()):
@@ -313,7 +346,9 @@
 
 
 async def dial(
-    owner: Neighbour, guard: guards.Guard, address: str, port: int
+    owner: Neighbour,
+    guard: guards.Guard,
+    record: instances.HostRecord,
 ) -> PeerStream:
     """Open a stream to another daemon.
 
@@ -322,7 +357,9 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         _, stream = await loop.create_connection(
-            lambda: PeerStream(owner, guard, True), address, port
+            lambda: PeerStream(owner, guard, record.availability_zone),
+            record.address,
+            record.port,
         )
     return stream
 
