--- a/src/peridotpost/proxy/deadlines.py
+++ b/src/peridotpost/proxy/deadlines.py
@@ -37,12 +37,13 @@
         """Register `key`; return the slot, which `discard` wants back."""
         slot = int(at / SLOT_S) + 1
         held = self.slots.get(slot)
-        if held is None:
-            held = self.slots[slot] = {}
-            heapq.heappush(self.order, slot)
-            if self.handle is None or slot < self.armed:
-                self._arm()
-        held[key] = expired
+        if held is not None:
+            held[key] = expired
+            return slot
+        self.slots[slot] = {key: expired}
+        heapq.heappush(self.order, slot)
+        if self.handle is None or slot < self.armed:
+            self._arm()
         return slot
 
     def discard(self, slot: int, key: object) -> None:
--- /dev/null
+++ b/testing/test_deadlines.py
@@ -0,0 +1,45 @@
+"""Deadlines expire, each once, whatever came before."""
+
+import asyncio
+import functools
+
+import pytest
+
+from peridotpost.proxy import deadlines
+
+
+@pytest.mark.parametrize(
+    ('delays', 'kept'),
+    [
+        pytest.param([0.02], [0], id='a single one'),
+        pytest.param([0.05, 0.02], [0, 1], id='a later one first'),
+        pytest.param([0.02, 0.02, 0.03], [0, 1, 2], id='two in one slot'),
+        pytest.param([0.01, 0.02, 0.03], [2], id='earlier ones discarded'),
+        pytest.param([-1.0], [0], id='one that has passed'),
+    ],
+)
+async def test_what_is_kept_expires(
+    delays: list[float], kept: list[int]
+) -> None:
+    """A lone request on an idle host was never timed out: its slot was
+    taken for an empty one while the timer was set."""
+    sweep = deadlines.Deadlines()
+    expired: list[int] = []
+    all_expired = asyncio.Event()
+
+    def note(index: int) -> None:
+        expired.append(index)
+        if sorted(expired) == kept:
+            all_expired.set()
+
+    start = deadlines.now()
+    slots = [
+        sweep.add(start + delay, index, functools.partial(note, index))
+        for index, delay in enumerate(delays)
+    ]
+    for index, slot in enumerate(slots):
+        if index not in kept:
+            sweep.discard(slot, index)
+    await asyncio.wait_for(all_expired.wait(), 20)
+    sweep.close()
+    assert sorted(expired) == kept
--- /dev/null
+++ b/testing/test_proxy_callers.py
@@ -0,0 +1,170 @@
+"""What callers may rely on, and what they may not send."""
+
+import asyncio
+
+import pytest
+
+from testing import proxies
+
+HOST = f'Host: {proxies.HOST}\r\n'.encode()
+
+
+async def test_request_and_answer_pass_unchanged() -> None:
+    async with proxies.pair() as (_, first, second):
+        answer = await first.ask(
+            '/write/ok?page=2&q=%20x',
+            method='PUT',
+            attempt='w1',
+            body=b'{"bond": 7}',
+            X_Own='kept',
+            X_Caller_Service='forged',
+            Connection='keep-alive, X-Hop',
+            X_Hop='dropped',
+        )
+        assert answer.status == 200
+        assert answer.headers['x-response-signature'] in ('i-a', 'i-b')
+        (run,) = first.worker.runs + second.worker.runs
+        assert (run.method, run.target) == ('PUT', '/write/ok?page=2&q=%20x')
+        assert run.body == b'{"bond": 7}'
+        assert run.headers['x-own'] == 'kept'
+        assert run.headers['x-caller-service'] == 'register'
+        assert 'x-hop' not in run.headers
+        assert 0 < int(run.headers['x-deadline-remaining-ms']) <= 4000
+        assert run.headers['x-expected-instance'] in ('i-a', 'i-b')
+
+
+async def test_chunked_body_arrives_whole() -> None:
+    async with proxies.pair() as (_, first, second):
+        async with first.caller() as caller:
+            caller.writer.write(
+                b'POST /write/ok HTTP/1.1\r\n' + HOST + b'X-Attempt-Id: w1\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+                b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+            )
+            assert (await caller.receive()).status == 200
+        (run,) = first.worker.runs + second.worker.runs
+        assert run.body == b'abcde'
+
+
+@pytest.mark.parametrize(
+    ('raw', 'status'),
+    [
+        pytest.param(b'nonsense\r\n\r\n', 400, id='no HTTP'),
+        pytest.param(
+            b'POST /write/ok HTTP/1.1\r\n' + HOST + b'Content-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            400,
+            id='two framings',
+        ),
+        pytest.param(
+            b'POST /write/ok HTTP/1.1\r\n' + HOST + b'Content-Length: 3\r\n'
+            b'Content-Length: 4\r\n\r\nabcd',
+            400,
+            id='two lengths',
+        ),
+        pytest.param(
+            b'GET /read/ok HTTP/1.1\r\n\r\n', 400, id='no host named'
+        ),
+        pytest.param(
+            b'GET /read/ok HTTP/1.1\r\n' + HOST + HOST + b'\r\n',
+            400,
+            id='two hosts named',
+        ),
+        pytest.param(
+            b'GET /read/ok HTTP/1.1\r\n'
+            + HOST
+            + b'X: '
+            + b'x' * 5000
+            + b'\r\n\r\n',
+            431,
+            id='headers over the limit',
+        ),
+        pytest.param(
+            b'POST /write/ok HTTP/1.1\r\n'
+            + HOST
+            + b'Content-Length: 100001\r\n\r\n'
+            + b'x' * 100_001,
+            413,
+            id='body over the limit',
+        ),
+        pytest.param(
+            b'GET /nowhere/x HTTP/1.1\r\n' + HOST + b'\r\n',
+            404,
+            id='no route',
+        ),
+        pytest.param(
+            b'GET /read/ok HTTP/1.1\r\nHost: other.example\r\n\r\n',
+            404,
+            id='no such host',
+        ),
+        pytest.param(
+            b'GET /other/ok HTTP/1.1\r\n' + HOST + b'\r\n',
+            503,
+            id='no target of the service',
+        ),
+    ],
+)
+async def test_what_is_not_served_is_told_and_not_run(
+    raw: bytes, status: int
+) -> None:
+    async with proxies.pair() as (_, first, second):
+        async with first.caller() as caller:
+            caller.writer.write(raw)
+            answer = await caller.receive()
+        assert answer.status == status
+        assert not first.worker.runs + second.worker.runs
+
+
+async def test_pipelined_requests_are_answered_in_order() -> None:
+    async with proxies.pair() as (_, first, _second):
+        async with first.caller() as caller:
+            for number in range(5):
+                caller.send('/read/ok', attempt=f'p{number}')
+            answers = [await caller.receive() for _ in range(5)]
+        found = [one.headers['x-attempt-id'] for one in answers]
+        assert found == [f'p{number}' for number in range(5)]
+
+
+async def test_a_refusal_when_full_says_when_to_come_back() -> None:
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a', slots=1)
+        await host.announce()
+        await mesh.ready()
+        running = asyncio.ensure_future(host.ask('/read/hold', attempt='h1'))
+        await proxies.until(lambda: len(host.worker.runs) == 1)
+        host.proxy.guard.queue.mean_s = 10.0
+        refused = await host.ask('/read/ok', attempt='h2')
+        assert refused.status == 503
+        assert float(refused.headers['retry-after']) > 0
+        host.worker.release.set()
+        assert (await running).status == 200
+        assert host.worker.attempts() == ['h1']
+
+
+async def test_the_operators_timeout_is_kept() -> None:
+    async with proxies.running() as mesh:
+        text = proxies.config()
+        for route in text['routes']:
+            route['timeoutMs'] = 100
+        await mesh.kv.configure(text)
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.ready()
+        assert (await host.ask('/read/hold')).status == 504
+        await proxies.until(lambda: bool(host.worker.dropped))
+
+
+async def test_an_instance_of_another_host_is_reached_by_its_guard() -> None:
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        near = await mesh.add('a', zone='hel-a')
+        far = await mesh.add('b', zone='hel-b', service='vault')
+        await near.announce()
+        await far.announce()
+        await mesh.ready('vault')
+        answer = await near.ask('/other/ok', method='POST', body=b'y' * 5000)
+        assert answer.status == 200
+        (run,) = far.worker.runs
+        assert run.headers['x-caller-service'] == 'register'
+        assert run.body == b'y' * 5000
--- /dev/null
+++ b/testing/test_proxy_leaving.py
@@ -0,0 +1,174 @@
+"""Targets and proxies that leave: nothing new reaches them, nothing is cut."""
+
+import asyncio
+
+import pytest
+
+from peridotpost.decisions import incarnations
+from peridotpost.model import instances
+from testing import proxies
+
+READY = instances.InstanceState.READY
+DRAINING = instances.InstanceState.DRAINING
+
+
+def told(
+    instance: str = 'i-1',
+    born: int = 1000,
+    sequence: int = 1,
+    state: instances.InstanceState = READY,
+) -> instances.Announcement:
+    return instances.Announcement(
+        instance, born, sequence, 'register', '127.0.0.1', 80, 4, state
+    )
+
+
+@pytest.mark.parametrize(
+    ('before', 'late', 'current'),
+    [
+        pytest.param([], told(), 'i-1', id='first'),
+        pytest.param(
+            [told(sequence=5, state=DRAINING)],
+            told(sequence=4),
+            None,
+            id='ready from before the drain',
+        ),
+        pytest.param(
+            [told(sequence=5, state=DRAINING)],
+            told(sequence=6),
+            None,
+            id='ready again after the drain',
+        ),
+        pytest.param(
+            [told('i-2', born=2000)],
+            told('i-1', born=1000, sequence=99),
+            'i-2',
+            id='dead incarnation, held up on the way',
+        ),
+        pytest.param(
+            [told(born=1000, sequence=50)],
+            told(born=2000, sequence=1),
+            'i-1',
+            id='same id, started again',
+        ),
+        pytest.param(
+            [told(born=1000, state=DRAINING), told(born=2000, sequence=1)],
+            told(born=1000, sequence=99),
+            'i-1',
+            id='same id, word of the incarnation before',
+        ),
+    ],
+)
+def test_late_announcement_never_revives_a_target(
+    before: list[instances.Announcement],
+    late: instances.Announcement,
+    current: str | None,
+) -> None:
+    log = incarnations.InstanceLog()
+    for one in before:
+        log.offer(one)
+    log.offer(late)
+    known = log.current
+    ready = known.instance if known and known.state is READY else None
+    assert ready == current
+
+
+def test_a_target_that_left_stays_away_until_it_starts_again() -> None:
+    log = incarnations.InstanceLog()
+    log.offer(told(born=1000, sequence=3))
+    assert log.leave('i-1', 1000)
+    assert not log.offer(told(born=1000, sequence=4))
+    assert log.offer(told(born=3000, sequence=1))
+
+
+async def test_nothing_reaches_a_target_whose_drain_was_acknowledged() -> None:
+    """A target says that it drains; requests were waiting for its slots.
+    They go to another target, and none comes to it any more."""
+    async with proxies.pair() as (mesh, first, second):
+        held = [
+            asyncio.ensure_future(
+                first.ask('/write/hold', method='POST', attempt=f'h{number}')
+            )
+            for number in range(10)
+        ]
+        await proxies.until(
+            lambda: len(first.worker.runs) + len(second.worker.runs) == 8
+        )
+        assert await first.announce(state='draining') == 200
+        reached = len(first.worker.runs)
+        for host in (first, second):
+            host.worker.release.set()
+        answers = await asyncio.gather(*held)
+        later = [
+            await first.ask('/write/ok', method='POST', attempt=f'l{number}')
+            for number in range(5)
+        ]
+        assert {one.status for one in [*answers, *later]} == {200}
+        assert len(first.worker.runs) == reached
+
+
+async def test_a_target_that_leaves_unannounced_gets_nothing_more() -> None:
+    async with proxies.pair() as (_, first, second):
+        status = await first.tell('instances.leave', 'i-a', b'{"born":1000}')
+        assert status == 200
+        for number in range(5):
+            answer = await second.ask('/read/ok', attempt=f'l{number}')
+            assert answer.status == 200
+        assert not first.worker.runs
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        pytest.param(b'', id='empty'),
+        pytest.param(b'\xff\x00', id='not JSON'),
+        pytest.param(b'{"service":"register"}', id='fields missing'),
+        pytest.param(
+            b'{"service":"register","address":"127.0.0.1:80","slots":"4",'
+            b'"state":"ready","seq":1}',
+            id='field of another type',
+        ),
+        pytest.param(
+            b'{"service":"register","address":"127.0.0.1:80","slots":4,'
+            b'"state":"dancing","seq":1}',
+            id='unknown state',
+        ),
+        pytest.param(
+            b'{"service":"unknown","address":"127.0.0.1:80","slots":4,'
+            b'"state":"ready","seq":1}',
+            id='another service',
+        ),
+    ],
+)
+async def test_spoiled_announcement_names_no_target(body: bytes) -> None:
+    async with proxies.pair() as (_, first, _second):
+        before = first.proxy.guard.status()
+        status = await first.tell('instances.heartbeat', 'i-x', body)
+        assert status == 400
+        assert first.proxy.guard.status() == before
+
+
+async def test_a_stopping_proxy_ends_what_it_has_begun(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A proxy is told to stop while it has requests of callers and runs
+    one for another proxy; all are answered before it is gone."""
+    monkeypatch.setattr('peridotpost.mesh.daemon.GUARD_STOPS_S', 0.0)
+    monkeypatch.setattr('peridotpost.mesh.daemon.OUT_OF_ROTATION_S', 0.0)
+    async with proxies.pair() as (_, first, second):
+        await second.tell('instances.leave', 'i-b', b'')
+        await proxies.until(
+            lambda: not second.proxy.directory.own_candidate.ready
+        )
+        here = asyncio.ensure_future(first.ask('/read/hold', attempt='h1'))
+        there = asyncio.ensure_future(
+            second.ask('/write/hold', method='POST', attempt='h2')
+        )
+        await proxies.until(lambda: len(first.worker.runs) == 2)
+        leaving = asyncio.ensure_future(first.proxy.leave())
+        await proxies.until(lambda: first.proxy.guard.leaving)
+        first.worker.release.set()
+        answers = await asyncio.gather(here, there)
+        await leaving
+        assert [one.status for one in answers] == [200, 200]
+        assert answers[0].headers['connection'] == 'close'
--- /dev/null
+++ b/testing/test_proxy_store.py
@@ -0,0 +1,135 @@
+"""The store out, slow, lossy or forgetful; configurations that are bad."""
+
+import pytest
+
+from peridotpost.mesh import storefeed
+from peridotpost.model import errors
+from testing import proxies
+
+
+async def test_without_a_configuration_callers_are_told_to_come_back() -> None:
+    """A 404 would claim that a route does not exist, which nobody knows."""
+    async with proxies.running() as mesh:
+        mesh.kv.status = 503
+        host = await mesh.add('a')
+        answer = await host.ask('/read/ok')
+        assert answer.status == 503
+        assert 'retry-after' in answer.headers
+        mesh.kv.status = 0
+        await mesh.kv.configure(proxies.config())
+        await host.announce()
+        await mesh.ready()
+        assert (await host.ask('/read/ok')).status == 200
+
+
+async def test_versions_never_go_back() -> None:
+    async with proxies.pair() as (mesh, first, _second):
+        await mesh.kv.configure(proxies.config(9))
+        await proxies.until(lambda: first.proxy.versions.version == 9)
+        await mesh.kv.configure(proxies.config(3, routes=[]))
+        await mesh.kv.configure(proxies.config(10))
+        await proxies.until(lambda: first.proxy.versions.version == 10)
+        assert (await first.ask('/read/ok')).status == 200
+
+
+@pytest.mark.parametrize(
+    'spoil',
+    [
+        pytest.param({'services': []}, id='service not listed'),
+        pytest.param({'routes': [{'name': 'x'}]}, id='fields missing'),
+        pytest.param({'routes': 'none'}, id='field of another type'),
+        pytest.param({'version': 'ten'}, id='no number'),
+    ],
+)
+async def test_a_bad_configuration_leaves_the_last_good_one(
+    spoil: dict[str, object],
+) -> None:
+    async with proxies.pair() as (mesh, first, _second):
+        counts = first.proxy.counts
+        await mesh.kv.configure(proxies.config(5) | spoil)
+        await proxies.until(lambda: counts.totals['config.bad'] > 0)
+        assert (await first.ask('/read/ok')).status == 200
+        assert first.proxy.versions.version == 1
+
+
+async def test_a_proxy_that_the_store_refuses_learns_from_peers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store turns one host away and serves the others; a version is
+    accepted meanwhile and has to be in force there too."""
+    async with proxies.pair() as (mesh, first, second):
+
+        async def refused(revision: int = 0) -> storefeed.Batch:
+            raise errors.StoreRefused('status 503', step='watch')
+
+        monkeypatch.setattr(first.proxy.adapter.feed, 'changes', refused)
+        monkeypatch.setattr(first.proxy.adapter.feed, 'snapshot', refused)
+        # The watch that waits already brings one change more.
+        await mesh.kv.configure(proxies.config(5))
+        await proxies.until(lambda: first.proxy.versions.version == 5)
+        await mesh.kv.configure(proxies.config(7))
+        await proxies.until(lambda: second.proxy.versions.version == 7)
+        await proxies.until(lambda: first.proxy.versions.version == 7)
+        assert first.proxy.counts.totals['config.fetched']
+
+
+async def test_a_history_that_is_gone_is_read_anew() -> None:
+    async with proxies.pair() as (mesh, first, _second):
+        await mesh.kv.compact()
+        await mesh.kv.configure(proxies.config(4))
+        await proxies.until(lambda: first.proxy.versions.version == 4)
+
+
+async def test_a_lapsed_record_is_back_and_the_host_was_never_gone() -> None:
+    """Leases lapse while the store is away.  The host lives and is reached
+    by its peers all the while, so it goes on getting requests, and its
+    record is written again."""
+    async with proxies.pair() as (mesh, first, second):
+        key = 'peridotpost/hosts/b'
+        written = mesh.kv.items[key].revision
+        await mesh.kv.end_lease(mesh.kv.items[key].lease)
+        await proxies.until(
+            lambda: (
+                key in mesh.kv.items and mesh.kv.items[key].revision > written
+            )
+        )
+        await first.announce(state='draining')
+        answer = await first.ask('/read/ok')
+        assert answer.status == 200
+        assert second.worker.runs
+
+
+async def test_foreign_records_name_no_host() -> None:
+    async with proxies.pair() as (mesh, first, _second):
+        await mesh.kv.put('peridotpost/hosts/x', b'\xff\x00')
+        await mesh.kv.put('peridotpost/hosts/y', b'{"host": 3}')
+        await mesh.kv.configure(proxies.config(6))
+        await proxies.until(lambda: first.proxy.versions.version == 6)
+        assert set(first.proxy.directory.peers) == {'b'}
+
+
+async def test_a_proxy_started_without_the_store_is_told_by_peers() -> None:
+    """All that a restarted daemon knows comes from the store; while that
+    is out its peers, who still know it, dial it and tell it the rest."""
+    async with proxies.pair() as (mesh, first, second):
+        mesh.kv.status = 503
+        second.proxy.directory.close()
+        record = second.proxy.own
+        again = await mesh.start_proxy(
+            'b',
+            second.address,
+            'hel-a',
+            'register',
+            second.worker,
+        )
+        known = first.proxy.directory.peers['b']
+        known.record = again.proxy.own
+        assert again.proxy.own.incarnation >= record.incarnation
+        await proxies.until(lambda: again.proxy.versions.version == 1)
+        await proxies.until(
+            lambda: (
+                'a' in again.proxy.directory.peers
+                and again.proxy.directory.peers['a'].candidate.ready
+            )
+        )
+        assert (await again.ask('/read/ok')).status == 200
--- /dev/null
+++ b/testing/test_proxy_targets.py
@@ -0,0 +1,155 @@
+"""What a target may do wrong, and what the caller is told."""
+
+import asyncio
+import functools
+
+import pytest
+
+from testing import proxies
+
+
+@pytest.mark.parametrize(
+    ('action', 'read_status', 'write_status'),
+    [
+        pytest.param('ok', 200, 200, id='answers'),
+        pytest.param('reset', 502, 502, id='resets instead of an answer'),
+        pytest.param('closed', 502, 502, id='closes instead of an answer'),
+        pytest.param('truncated', 502, 502, id='breaks off its answer'),
+        pytest.param('garbage', 502, 502, id='sends no HTTP'),
+        pytest.param('unsigned', 502, 502, id='success without its mark'),
+        pytest.param('encoded', 502, 502, id='encoding nobody asked for'),
+        pytest.param('failed', 500, 500, id='fails'),
+        pytest.param('shed', 503, 503, id='says that it did not run it'),
+        pytest.param('unframed', 200, 200, id='ends its answer by closing'),
+        pytest.param('second', 200, 200, id='answers twice'),
+        pytest.param('foreign-first', 200, 200, id='late answer comes first'),
+    ],
+)
+async def test_fault_reaches_the_caller_as_what_it_is(
+    action: str, read_status: int, write_status: int
+) -> None:
+    async with proxies.pair() as (_, first, second):
+        read = await first.ask(f'/read/{action}')
+        write = await first.ask(
+            f'/write/{action}', method='POST', attempt='w1', body=b'x'
+        )
+        assert (read.status, write.status) == (read_status, write_status)
+        if write.status == 200:
+            assert write.body == read.body == b'done'
+        ran = first.worker.attempts() + second.worker.attempts()
+        # A read may run at two targets, a write at one, whatever happens.
+        assert ran.count('a1') <= 2
+        assert ran.count('w1') <= 1
+
+
+async def test_answers_after_a_second_one_belong_to_their_requests() -> None:
+    """A target sends one answer too many; the next request on that
+    connection would get it, and each caller after it the answer of the
+    one before."""
+    async with proxies.pair() as (_, first, _second):
+        async with first.caller() as caller:
+            for number in range(20):
+                action = 'second' if number % 3 == 0 else 'ok'
+                answer = await caller.ask(
+                    f'/read/{action}', attempt=f'n{number}'
+                )
+                assert answer.headers['x-attempt-id'] == f'n{number}'
+                assert answer.body == b'done'
+
+
+async def test_a_replaced_target_at_the_address_runs_nothing() -> None:
+    """A target ends without a word and its address serves another one.
+    Requests for the first reach the second, which refuses them since they
+    name the incarnation that they are for; they run elsewhere."""
+    async with proxies.pair() as (_, first, second):
+        first.worker.instance = 'i-another'
+        answer = await first.ask('/write/ok', method='POST', body=b'x')
+        assert answer.status == 200
+        assert not first.worker.runs
+        assert len(second.worker.runs) == 1
+
+
+async def test_a_crashed_target_is_left_out_until_it_is_back() -> None:
+    async with proxies.pair() as (_, first, second):
+        await first.worker.crash()
+        answers = [
+            await first.ask('/write/ok', method='POST', attempt=f'w{number}')
+            for number in range(4)
+        ]
+        assert [one.status for one in answers] == [200] * 4
+        assert len(second.worker.runs) == 4
+
+
+async def test_no_more_requests_at_once_than_the_target_has_slots() -> None:
+    """A target that has no slot free never answers on that connection
+    again; so it must never get a request that it has no slot for."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a', slots=2)
+        await host.announce()
+        await mesh.ready()
+        asked = [
+            asyncio.ensure_future(host.ask('/read/hold', attempt=f'h{number}'))
+            for number in range(6)
+        ]
+        await proxies.until(lambda: len(host.worker.runs) == 2)
+        host.worker.release.set()
+        answers = await asyncio.gather(*asked)
+        assert {one.status for one in answers} <= {200, 503}
+        assert host.worker.most_at_once == 2
+
+
+async def test_a_caller_that_leaves_stops_an_idempotent_run() -> None:
+    async with proxies.pair() as (_, first, second):
+        async with first.caller() as caller:
+            caller.send('/read/hold')
+            await proxies.until(
+                lambda: bool(first.worker.runs or second.worker.runs)
+            )
+        await proxies.until(
+            lambda: bool(first.worker.dropped or second.worker.dropped)
+        )
+
+
+async def test_a_caller_that_leaves_does_not_cut_a_write() -> None:
+    """A non-idempotent request that is cut off half done can't be sent
+    again; it ends, though nobody waits for the answer."""
+    async with proxies.pair() as (_, first, second):
+        async with first.caller() as caller:
+            caller.send('/write/hold', method='POST', body=b'x')
+            await proxies.until(
+                lambda: bool(first.worker.runs or second.worker.runs)
+            )
+        await proxies.until(lambda: not first.proxy.forwarder.in_flight)
+        for host in (first, second):
+            host.worker.release.set()
+            await proxies.until(functools.partial(_idle, host))
+            assert not host.worker.dropped
+
+
+def _idle(host: proxies.Host) -> bool:
+    return not host.worker.running
+
+
+async def test_a_request_that_crashes_its_targets_is_refused() -> None:
+    """One request crashes each target that runs it and its caller sends
+    it again; without a memory of it the service loses all its targets."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        hosts = [await mesh.add(name) for name in 'abcd']
+        for host in hosts:
+            await host.announce()
+        await mesh.ready()
+        for number in range(6):
+            answer = await hosts[0].ask('/read/crash', attempt=f'c{number}')
+            assert answer.status in (502, 503, 504)
+            crashed = sum(one.worker.server is None for one in hosts)
+            await proxies.until(
+                lambda crashed=crashed: (  # type: ignore[misc]
+                    sum(one.proxy.guard.down for one in hosts) == crashed
+                )
+            )
+        alive = [one for one in hosts if one.worker.server is not None]
+        assert alive
+        answer = await hosts[0].ask('/read/ok')
+        assert answer.status == 200
--- /dev/null
+++ b/testing/test_selection.py
@@ -0,0 +1,87 @@
+"""Where requests go, under uneven speeds, zones and failures."""
+
+import collections
+import random
+
+from peridotpost.decisions import selection
+
+
+def target(
+    host: str, zone: str = 'own', run_s: float = 0.06, load: float = 0.0
+) -> selection.Candidate:
+    found = selection.Candidate(host, zone, ready=True, slots=12)
+    found.report(load, run_s, 0.0)
+    return found
+
+
+def shares(
+    candidates: list[selection.Candidate],
+    randomness: random.Random,
+    objective_s: float = 0.2,
+    draws: int = 2000,
+) -> collections.Counter[str]:
+    selector = selection.Selector('own', randomness)
+    found: collections.Counter[str] = collections.Counter()
+    for _ in range(draws):
+        chosen = selector.choose(candidates, (), objective_s, 0.0)
+        assert chosen is not None
+        found[chosen.host] += 1
+    return found
+
+
+def test_the_own_zone_serves_what_it_can(randomness: random.Random) -> None:
+    found = shares([target('a'), target('b', 'far', 0.03)], randomness)
+    assert found['a'] == 2000
+
+
+def test_a_full_zone_spills(randomness: random.Random) -> None:
+    full = target('a', load=5.0)
+    found = shares([full, target('b', 'far')], randomness)
+    assert found['b'] > 1500
+
+
+def test_a_zone_does_not_spill_to_one_as_full(
+    randomness: random.Random,
+) -> None:
+    # Bytes between zones are paid for, and buy nothing here.
+    full = [target('a', load=5.0), target('b', 'far', load=5.0)]
+    assert shares(full, randomness)['a'] == 2000
+
+
+def test_a_slow_target_gets_less_and_never_nothing(
+    randomness: random.Random,
+) -> None:
+    # With the fastest taken each time, a target that just joined, slow
+    # until it is warm, would get nothing as long as there is room.
+    found = shares([target('a'), target('b', run_s=0.12)], randomness)
+    assert 100 < found['b'] < 500
+
+
+def test_a_target_that_fails_its_requests_is_put_back(
+    randomness: random.Random,
+) -> None:
+    failing = target('a')
+    for _ in range(10):
+        failing.note(True, 0.0)
+    found = shares([failing, target('b')], randomness)
+    assert 0 < found['a'] < 100
+
+
+def test_a_target_that_recovered_is_used_again(
+    randomness: random.Random,
+) -> None:
+    failing = target('a')
+    for _ in range(10):
+        failing.note(True, 0.0)
+    for _ in range(40):
+        failing.note(False, 0.0)
+    found = shares([failing, target('b')], randomness)
+    assert found['a'] > 700
+
+
+def test_nobody_tried_is_tried_again(randomness: random.Random) -> None:
+    selector = selection.Selector('own', randomness)
+    both = [target('a'), target('b')]
+    chosen = selector.choose(both, {'a'}, 0.2, 0.0)
+    assert chosen is not None and chosen.host == 'b'
+    assert selector.choose(both, {'a', 'b'}, 0.2, 0.0) is None
