--- a/src/peridotpost/decisions/selection.py
+++ b/src/peridotpost/decisions/selection.py
@@ -38,6 +38,8 @@
 """A target that takes twice as long gets an eighth of the requests."""
 REPORT_HALF_LIFE_S = 0.5
 FIRST_RUN_S = 0.06
+RUN_WEIGHT = 1 / 32
+"""The mean is over routes, whose runs differ by a factor of five."""
 COLD_FACTOR = 2.0
 FAILURE_WEIGHT = 1 / 8
 FAILURE_COST_S = 0.5
@@ -54,6 +56,8 @@
     """A target as one ingress sees it.
 
     :param load: what runs and waits there, per slot, as reported.
+    :param run_s: mean time of a run there; `run_by_route` by route, since
+        a service may answer one route in a fifth of another's time.
     :param outstanding: requests of this ingress that are under way there.
     """
 
@@ -67,16 +71,26 @@
     load_at: float = 0.0
     run_s: float = FIRST_RUN_S
     outstanding: int = 0
+    run_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
     failing: float = 0.0
     failing_at: float = 0.0
     cold_until: float = 0.0
 
-    def report(self, load: float, run_s: float, now: float) -> None:
-        """Take the guard's word."""
+    def report(self, load: float, now: float) -> None:
+        """Take the guard's word on its load."""
         self.load = load
         self.load_at = now
-        if run_s > 0:
-            self.run_s = run_s
+
+    def report_run(self, route: str, run_s: float) -> None:
+        """Take the guard's word on the time of a route's runs."""
+        self.run_by_route[route] = run_s
+        self.run_s += RUN_WEIGHT * (run_s - self.run_s)
+
+    def replaced(self) -> None:
+        """Forget what was learned of the incarnation before."""
+        self.failing = 0.0
+        self.run_s = FIRST_RUN_S
+        self.run_by_route.clear()
 
     def note(self, failed: bool, now: float) -> None:
         """Take the outcome of a request that the target ran."""
@@ -90,18 +104,18 @@
         age = max(0.0, now - self.failing_at)
         return float(self.failing * 0.5 ** (age / FAILURE_HALF_LIFE_S))
 
-    def expected_s(self, now: float) -> float:
+    def expected_s(self, route: str, now: float) -> float:
         """Return the time until an answer, the way there left out."""
         slots = max(1, self.slots)
         age = max(0.0, now - self.load_at)
         reported = self.load * 0.5 ** (age / REPORT_HALF_LIFE_S)
         load = max(reported, (self.outstanding + 1) / slots)
-        run_s = self.run_s
+        run_s = self.run_by_route.get(route, self.run_s)
         if now < self.cold_until:
             run_s *= COLD_FACTOR
         wait_s = 0.0
         if load > QUEUE_ONSET:
-            wait_s = (load - QUEUE_ONSET) * run_s
+            wait_s = (load - QUEUE_ONSET) * self.run_s
         return run_s + wait_s + FAILURE_COST_S * self.failure_share(now)
 
 
@@ -119,6 +133,7 @@
     def choose(
         self,
         candidates: Iterable[Candidate],
+        route: str,
         tried: Collection[str],
         objective_left_s: float,
         now: float,
@@ -136,21 +151,23 @@
                 return self.randomness.choice(shunned)
         own = [one for one in usable if one.availability_zone == self.zone]
         if not own:
-            return self._draw(usable, now)
-        best = self._draw(own, now)
-        expected_s = best.expected_s(now)
+            return self._draw(usable, route, now)
+        best = self._draw(own, route, now)
+        expected_s = best.expected_s(route, now)
         if expected_s <= OWN_ZONE_SHARE * objective_left_s:
             return best
-        best = min(own, key=lambda one: one.expected_s(now))
-        expected_s = best.expected_s(now)
+        best = min(own, key=lambda one: one.expected_s(route, now))
+        expected_s = best.expected_s(route, now)
         if expected_s <= OWN_ZONE_SHARE * objective_left_s:
             return best
-        best_far = self._draw(usable, now)
-        if best_far.expected_s(now) < WORTH_CROSSING * expected_s:
+        best_far = self._draw(usable, route, now)
+        if best_far.expected_s(route, now) < WORTH_CROSSING * expected_s:
             return best_far
         return best
 
-    def _draw(self, among: list[Candidate], now: float) -> Candidate:
+    def _draw(
+        self, among: list[Candidate], route: str, now: float
+    ) -> Candidate:
         """Draw a target, the faster ones more often.
 
         All ingresses see much the same figures; with the fastest taken
@@ -159,5 +176,5 @@
         """
         if len(among) == 1:
             return among[0]
-        weights = [one.expected_s(now) ** -DRAW_POWER for one in among]
+        weights = [one.expected_s(route, now) ** -DRAW_POWER for one in among]
         return self.randomness.choices(among, weights)[0]
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 import contextlib
 import random
 import time
@@ -15,6 +16,7 @@
 from peridotpost.kernel import tasks
 from peridotpost.mesh import adapter as adapters
 from peridotpost.mesh import directory as directories
+from peridotpost.mesh import metrics
 from peridotpost.mesh import storefeed
 from peridotpost.mesh import versions as version_feed
 from peridotpost.model import instances
@@ -115,6 +117,8 @@
             self.counts,
             self.log,
         )
+        self.metrics = metrics.Metrics(self.counts, self)
+        self.forwarder.observe = self._observe
         self.guard.crashed.subscribe(self._own_target_crashed)
         self.directory.noticed.subscribe(self._noticed)
         for name in ('guard', 'directory', 'forwarder', 'versions', 'feed'):
@@ -135,11 +139,10 @@
                 (told, listen.announcements),
                 (self.requests, listen.requests),
             ):
-                self.ports.append(port)
-                host, number = border.split_address(address)
-                await stack.enter_async_context(
-                    listener.listening(port, host, number)
-                )
+                await self._listen(stack, port, address)
+            if listen.metrics:
+                page = listener.Port(self.adapter.headers, self._metrics_page)
+                await self._listen(stack, page, listen.metrics)
             running = [
                 asyncio.ensure_future(self.feed.watch()),
                 asyncio.ensure_future(self.feed.keep_record()),
@@ -151,6 +154,45 @@
             finally:
                 await tasks.end(*running)
 
+    async def _listen(
+        self,
+        stack: contextlib.AsyncExitStack,
+        port: listener.Port,
+        address: str,
+    ) -> None:
+        self.ports.append(port)
+        host, number = border.split_address(address)
+        await stack.enter_async_context(listener.listening(port, host, number))
+
+    def gauges(self) -> Iterator[metrics.Gauge]:
+        """Yield the figures that are read when the metrics page is."""
+        queue = self.guard.queue
+        gauge = metrics.Gauge
+        yield gauge(
+            'config_version', 'Version in force', self.versions.version
+        )
+        age = deadlines.now() - self.versions.applied_at
+        yield gauge('config_age_seconds', 'Time since it came', age)
+        yield gauge('members', 'Daemons reached', self.directory.members())
+        yield gauge('target_running', 'Requests it runs', queue.running)
+        yield gauge('target_waiting', 'Requests queued', len(queue.waiting))
+        yield gauge('target_run_seconds', 'Mean time of a run', queue.mean_s)
+        in_flight = self.forwarder.in_flight
+        yield gauge('requests_in_flight', 'Requests of callers', in_flight)
+        reachable = self.feed.reachable is True
+        yield gauge('store_reachable', '1 if the store answers', reachable)
+
+    def _observe(
+        self, exchange: forwarders.Exchange, status: int, elapsed_s: float
+    ) -> None:
+        self.metrics.observe(exchange.service, status, elapsed_s)
+
+    def _metrics_page(
+        self, message: http1.Message, inner: bool, respond: listener.Respond
+    ) -> None:
+        head = b'Content-Type: text/plain; version=0.0.4\r\n'
+        respond(listener.Reply(200, head, self.metrics.render()))
+
     async def leave(self) -> None:
         """Stop without cutting a request: out of rotation, then out."""
         started = deadlines.now()
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -87,7 +87,9 @@
         own = self.own_candidate
         if own.service == service:
             queue = self.guard.queue
-            own.report(queue.load, queue.mean_s, deadlines.now())
+            own.report(queue.load, deadlines.now())
+            own.run_s = queue.mean_s
+            own.run_by_route = queue.run_s
             yield own
         for peer in self.peers.values():
             stream = peer.stream
@@ -157,6 +159,10 @@
             peer.record = record
             peer.next_try = 0.0
             peer.pause_s = FIRST_PAUSE_S
+            if peer.stream is not None:
+                # A host that lost power says nothing on the old stream;
+                # its new daemon shows that nothing will come on it.
+                peer.stream.close()
         if recorded and record.incarnation >= peer.record.incarnation:
             peer.recorded = True
         if peer.stream is None:
@@ -190,6 +196,10 @@
             told.incarnation,
         )
         if not stream.dialled:
+            for older in [
+                one for one in self.accepted if one.host == told.host
+            ]:
+                older.close()
             self.accepted.add(stream)
             stream.send(self._status())
             self.learn(record)
@@ -280,14 +290,13 @@
         finally:
             peer.dialling = None
         stream.host = record.host
-        stream.on_load = self._loads_of(peer)
+        candidate = peer.candidate
+        stream.on_load = lambda load: candidate.report(load, deadlines.now())
+        stream.on_run = candidate.report_run
         peer.stream = stream
         peer.pause_s = FIRST_PAUSE_S
         self.counts.add('peers.dialled')
 
-    def _loads_of(self, peer: Peer) -> '_LoadNote':
-        return _LoadNote(peer.candidate)
-
     def _status(self) -> frames.Status:
         load = int(self.guard.queue.load * 100)
         return peers.status_frame(self.guard.status(), load)
@@ -310,14 +319,13 @@
         now = deadlines.now()
         candidate = peer.candidate
         if told.instance != candidate.instance:
-            candidate.failing = 0.0
-            candidate.run_s = selection.FIRST_RUN_S
+            candidate.replaced()
         candidate.service = told.service
         candidate.instance = told.instance
         candidate.slots = told.slots
         candidate.ready = told.ready
         candidate.cold_until = now + told.cold_ms / 1000
-        candidate.report(told.load / 100, 0.0, now)
+        candidate.report(told.load / 100, now)
 
     def _known(self, stream: peers.PeerStream, told: frames.Known) -> None:
         if not told.hosts:
@@ -335,16 +343,6 @@
             )
 
 
-class _LoadNote:
-    """Takes a guard's word on its load into the ingress's view."""
-
-    def __init__(self, candidate: selection.Candidate) -> None:
-        self.candidate = candidate
-
-    def __call__(self, host: str, load: int, run_ms: int) -> None:
-        self.candidate.report(load / 100, run_ms / 1000, deadlines.now())
-
-
 def _hello(record: instances.HostRecord, version: int) -> frames.Hello:
     return frames.Hello(
         record.host,
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -24,6 +24,11 @@
 """Pauses while the store is out.  Records that lapsed meanwhile have to be
 back within two seconds of its return, so the longest is under half that;
 at 5,200 daemons it is 6,500 refused calls a second for the store."""
+GATHER_S = 0.4
+"""Pause after changes came, in which more gather for the next watch.  The
+store is asked at most so often by each daemon while versions come several
+a second or a whole fleet registers, and a version still is in force well
+within the two seconds that operators count on."""
 LEASE_TTL_S = 5.0
 RENEW_S = 1.6
 """A third of the lease: two renewals may fail before it lapses."""
@@ -109,14 +114,17 @@
         while not tasks.cancelled():
             try:
                 if not revision:
+                    written = self.written
                     batch = await self.feed.snapshot()
-                    self._take_snapshot(batch)
+                    self._take_snapshot(batch, written)
                 else:
                     batch = await self.feed.changes(revision)
                     self._take_changes(batch)
                 revision = batch.revision
                 pause_s = RETRY_S
                 self._note(True, '')
+                if batch.changes:
+                    await asyncio.sleep(GATHER_S)
             except errors.StoreCompacted:
                 # What was missed is not kept; read all again at once.
                 self.counts.add('store.compacted')
@@ -188,7 +196,8 @@
         to = 'reachable' if reachable else 'unreachable'
         self.log.state('store', to=to, error=error)
 
-    def _take_snapshot(self, batch: Batch) -> None:
+    def _take_snapshot(self, batch: Batch, written: bool) -> None:
+        """Take all; `written` is whether the own record has to be in it."""
         records = []
         for change in batch.changes:
             if self.feed.is_config(change.key):
@@ -199,7 +208,7 @@
             if record is not None:
                 records.append(record)
         self.directory.recorded(records)
-        if self.own.host not in {one.host for one in records}:
+        if written and self.own.host not in {one.host for one in records}:
             self.record_lost()
 
     def _take_changes(self, batch: Batch) -> None:
@@ -215,11 +224,20 @@
                 self._record_gone(host)
                 continue
             record = self.feed.record_of(change)
-            if record is not None:
+            if record is None:
+                continue
+            if record.host == self.own.host:
+                self._own_record_written(record)
+            else:
                 self.directory.learn(record, recorded=True)
         if newest is not None and newest.value is not None:
             self.versions.offer(newest.value, 'store')
 
+    def _own_record_written(self, record: instances.HostRecord) -> None:
+        if record.incarnation != self.own.incarnation:
+            # A write of the process before was carried out late.
+            self.record_lost()
+
     def _record_gone(self, host: str) -> None:
         if host == self.own.host:
             self.record_lost()
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -12,6 +12,7 @@
 from peridotpost.kernel import lines
 from peridotpost.mesh import directory as directories
 from peridotpost.model import mesh
+from peridotpost.proxy import deadlines
 from peridotpost.proxy import frames
 from peridotpost.proxy import peers
 
@@ -51,6 +52,7 @@
         self.log = log
         self.current: mesh.MeshConfig | None = None
         self.raw = b''
+        self.applied_at = deadlines.now()
         directory.noticed.subscribe(self._noticed)
         directory.met_hook.subscribe(self._met)
 
@@ -76,6 +78,7 @@
         before = self.version
         self.current = config
         self.raw = raw
+        self.applied_at = deadlines.now()
         self.apply(config)
         self.directory.version = config.version
         self.counts.add('config.applied')
--- a/src/peridotpost/platform/store.py
+++ b/src/peridotpost/platform/store.py
@@ -18,10 +18,10 @@
 """Bound on a call; the store answers in 4 ms and, when slow, in some
 hundreds."""
 CONNECT_S = 0.5
-WATCH_MS = 3000
+WATCH_MS = 4000
 """How long a watch waits.  A connection may go silent for good; a change
 missed so is found by the next watch, or told by a peer before that."""
-WATCH_SLACK_S = 0.6
+WATCH_SLACK_S = 0.4
 MS_IN_S = 1000
 ItemT = TypeVar('ItemT')
 
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -229,6 +229,7 @@
         while True:
             candidate = self.selector.choose(
                 self.backends.candidates(exchange.service),
+                exchange.route.name,
                 exchange.tried,
                 exchange.objective - now,
                 now,
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -83,7 +83,8 @@
         self.received_at = deadlines.now()
         self.owed_since = 0.0
         self.pinged_at = 0.0
-        self.on_load: Callable[[str, int, int], None] | None = None
+        self.on_load: Callable[[float], None] | None = None
+        self.on_run: Callable[[str, float], None] | None = None
         self.asked = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -165,7 +166,16 @@
         except frames.BadFrame:
             self.close()
             return
+        withdrawn = {
+            frame.number for frame in found if type(frame) is frames.Cancel
+        }
         for frame in found:
+            if type(frame) is frames.Dispatch and frame.number in withdrawn:
+                # Both waited while this process stood still.  Run now, it
+                # would run for a caller that has long been answered.
+                refused = forwarding.Refused(forwarding.Refusal.WITHDRAWN)
+                self._reply(frame, refused)
+                continue
             self._handle(frame)
 
     def _handle(self, frame: frames.Frame) -> None:
@@ -193,7 +203,7 @@
             self.owner.notice(self, frames.Version(told))
         elif kind is frames.Pong:
             pong = cast(frames.Pong, frame)
-            self._note_load(pong.load, 0)
+            self._note_load(pong.load)
             self.owner.notice(self, frames.Version(pong.version))
         elif kind is frames.Hello:
             self._met(cast(frames.Hello, frame))
@@ -213,7 +223,7 @@
 
         def done(outcome: forwarding.Outcome) -> None:
             self.received.pop(number, None)
-            self._reply(number, outcome)
+            self._reply(told, outcome)
 
         order = forwarding.Order(
             number=number,
@@ -234,8 +244,11 @@
         self.received[number] = order
         self.guard.submit(order)
 
-    def _reply(self, number: int, outcome: forwarding.Outcome) -> None:
-        run_ms = int(self.guard.queue.mean_s * 1000)
+    def _reply(
+        self, told: frames.Dispatch, outcome: forwarding.Outcome
+    ) -> None:
+        number = told.number
+        run_ms = int(self.guard.queue.expected_run_s(told.route) * 1000)
         if isinstance(outcome, forwarding.TargetAnswer):
             self.send(
                 frames.Answered(
@@ -268,7 +281,7 @@
         return int(self.guard.queue.load * 100)
 
     def _answered(self, told: frames.Answered) -> None:
-        self._note_load(told.load, told.run_ms)
+        self._note_load(told.load, told.number, told.run_ms)
         self._settle(
             told.number,
             forwarding.TargetAnswer(
@@ -277,7 +290,7 @@
         )
 
     def _refused(self, told: frames.RefusedFrame) -> None:
-        self._note_load(told.load, told.run_ms)
+        self._note_load(told.load, told.number, told.run_ms)
         self._settle(
             told.number,
             forwarding.Refused(
@@ -287,9 +300,12 @@
             ),
         )
 
-    def _note_load(self, load: int, run_ms: int) -> None:
+    def _note_load(self, load: int, number: int = 0, run_ms: int = 0) -> None:
         if self.on_load is not None:
-            self.on_load(self.host, load, run_ms)
+            self.on_load(load / 100)
+        order = self.sent.get(number)
+        if run_ms and order is not None and self.on_run is not None:
+            self.on_run(order.route, run_ms / 1000)
 
     def _settle(self, number: int, outcome: forwarding.Outcome) -> None:
         order = self.sent.pop(number, None)
--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -216,7 +216,7 @@
     worker: worker_standin.Worker,
     store: str,
 ) -> border.ProxySettings:
-    ports = [_free_port(address) for _ in range(4)]
+    ports = [_free_port(address) for _ in range(5)]
     listen = border.Listen(*(f'{address}:{port}' for port in ports))
     return border.ProxySettings(
         host=name,
--- /dev/null
+++ b/testing/test_peer_streams.py
@@ -0,0 +1,113 @@
+"""Streams between proxies that stand still, go silent or are replaced."""
+
+import asyncio
+
+from peridotpost.model import forwarding
+from peridotpost.proxy import deadlines
+from peridotpost.proxy import frames
+from peridotpost.proxy import peers
+from testing import proxies
+
+
+def dispatch(number: int, idempotent: bool = False) -> frames.Dispatch:
+    return frames.Dispatch(
+        number,
+        'register',
+        'write',
+        f'd{number}'.encode(),
+        b'POST',
+        b'/write/ok',
+        f'Host: x\r\nX-Attempt-Id: d{number}\r\n'.encode(),
+        b'',
+        idempotent,
+        True,
+        1,
+        1000,
+        1000,
+    )
+
+
+async def test_what_was_withdrawn_during_a_freeze_does_not_run() -> None:
+    """A guard's process is frozen for seconds; meanwhile an ingress sends
+    it a request, gives up on it and tells the caller.  On waking, the guard
+    reads the request and its withdrawal together and must not run it."""
+    async with proxies.pair() as (_, first, second):
+        (stream,) = first.proxy.directory.accepted
+        batch = frames.encode(dispatch(901)) + frames.encode(
+            frames.Cancel(901)
+        )
+        stream.data_received(batch + frames.encode(dispatch(902)))
+        await proxies.until(lambda: not stream.received)
+        assert first.worker.attempts() == ['d902']
+
+
+async def test_a_silent_peer_loses_reads_at_once_and_writes_late() -> None:
+    """A connection goes silent for good while new ones work.  A read is
+    sent elsewhere as soon as a ping stays unanswered; a write, which can't
+    be sent again, waits for its answer as long as the stream lives."""
+    async with proxies.pair() as (_, first, _second):
+        stream = first.proxy.directory.peers['b'].stream
+        assert stream is not None and stream.transport is not None
+        stream.transport.pause_reading()
+        outcomes: dict[str, forwarding.Outcome] = {}
+        for name, idempotent in (('read', True), ('write', False)):
+            stream.dispatch(_order(name, idempotent, outcomes))
+        now = deadlines.now()
+        stream.check(now + peers.SILENCE_S * 1.1)
+        assert stream.suspect and not outcomes
+        stream.check(stream.pinged_at + peers.SUSPECT_S * 1.1)
+        assert isinstance(outcomes.pop('read'), forwarding.Lost)
+        assert not outcomes
+        stream.check(stream.pinged_at + peers.DEAD_S * 1.1)
+        await proxies.until(lambda: 'write' in outcomes)
+        assert isinstance(outcomes['write'], forwarding.Lost)
+        await proxies.until(
+            lambda: first.proxy.directory.peers['b'].candidate.ready
+        )
+
+
+def _order(
+    name: str, idempotent: bool, outcomes: dict[str, forwarding.Outcome]
+) -> forwarding.Order:
+    now = deadlines.now()
+
+    def done(outcome: forwarding.Outcome) -> None:
+        outcomes[name] = outcome
+
+    return forwarding.Order(
+        number=0,
+        service='register',
+        attempt_id=name.encode(),
+        method=b'POST',
+        target=b'/write/hold',
+        head=b'Host: x\r\n',
+        body=b'',
+        idempotent=idempotent,
+        rank=1,
+        deadline=now + 5,
+        objective=now + 5,
+        last=True,
+        done=done,
+    )
+
+
+async def test_a_restarted_peer_is_dialled_again_at_once() -> None:
+    """A host lost power: nothing comes on the old stream, not even a
+    reset.  Its new record shows that the process behind it is gone."""
+    async with proxies.pair() as (_, first, second):
+        peer = first.proxy.directory.peers['b']
+        before = peer.stream
+        record = second.proxy.own
+        newer = type(record)(
+            record.host,
+            record.availability_zone,
+            record.address,
+            record.port,
+            record.incarnation + 1,
+        )
+        first.proxy.directory.learn(newer, recorded=True)
+        await proxies.until(
+            lambda: peer.stream is not None and peer.stream is not before
+        )
+        await asyncio.sleep(0)
+        assert before is not None and before.closed
--- a/testing/test_selection.py
+++ b/testing/test_selection.py
@@ -10,7 +10,8 @@
     host: str, zone: str = 'own', run_s: float = 0.06, load: float = 0.0
 ) -> selection.Candidate:
     found = selection.Candidate(host, zone, ready=True, slots=12)
-    found.report(load, run_s, 0.0)
+    found.report(load, 0.0)
+    found.run_s = run_s
     return found
 
 
@@ -23,7 +24,7 @@
     selector = selection.Selector('own', randomness)
     found: collections.Counter[str] = collections.Counter()
     for _ in range(draws):
-        chosen = selector.choose(candidates, (), objective_s, 0.0)
+        chosen = selector.choose(candidates, 'r', (), objective_s, 0.0)
         assert chosen is not None
         found[chosen.host] += 1
     return found
@@ -82,6 +83,20 @@
 def test_nobody_tried_is_tried_again(randomness: random.Random) -> None:
     selector = selection.Selector('own', randomness)
     both = [target('a'), target('b')]
-    chosen = selector.choose(both, {'a'}, 0.2, 0.0)
+    chosen = selector.choose(both, 'r', {'a'}, 0.2, 0.0)
     assert chosen is not None and chosen.host == 'b'
-    assert selector.choose(both, {'a', 'b'}, 0.2, 0.0) is None
+    assert selector.choose(both, 'r', {'a', 'b'}, 0.2, 0.0) is None
+
+
+def test_a_short_route_does_not_cross_for_the_sake_of_a_long_one(
+    randomness: random.Random,
+) -> None:
+    """A service answers one route in a fifth of another's time.
+
+    Judged by the mean of both, the short one was sent to another zone all
+    the time, as its objective is as short as it is.
+    """
+    near, far = target('a', run_s=0.12), target('b', 'far', run_s=0.06)
+    near.report_run('r', 0.03)
+    far.report_run('r', 0.02)
+    assert shares([near, far], randomness, objective_s=0.1)['a'] == 2000
