Those who will be late wait behind those who make it

Cause, found on paper and by a test that failed: a guard that takes what nobody else takes fills its queue up to the deadlines; every later request then misses its objective too, at full load and with no slot idle. Within a rank, requests that make their objective now go first.

The test of overload compares with a line of its own: the one it had was built on the queue under test.

--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -8,9 +8,12 @@
 
 - The caller of this module is the only sender to its target, so slots are
   counted exactly and nothing waits inside the target.
-- What waits is served by rank (0 first), within a rank in order of
-  arrival; calls of targets come before all, since a call that fails
-  wastes the slot of the request that made it.
+- What waits is served by rank (0 first); calls of targets come before
+  all, since a call that fails wastes the slot of the request that made
+  it.  Within a rank those that still make their objective go first, in
+  order of arrival, and those that will be late after them: in one line,
+  a queue as long as the objective makes everybody late for ever, at full
+  load and with no slot idle.
 - A request waits only if its turn comes in time.  A first choice is
   refused once the answer would miss the objective, so that another target
   is asked while that still helps; the last choice is refused only when it
@@ -39,6 +42,14 @@
 RETURN_SPREAD = 0.5
 MIN_RETURN_S = 0.05
 MAX_RETURN_S = 5.0
+LEAST_RUN_SHARE = 0.5
+"""One in five runs takes less than half of the mean; below that a start
+is as good as lost."""
+
+Turn = tuple[int, bool]
+"""Rank, and whether the objective will be missed: who goes first."""
+Waiting = tuple[int, bool, int, forwarding.Order]
+"""A turn, the number of the arrival, and what waits."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,9 +70,9 @@
         self.slots = slots
         self.randomness = randomness
         self.running = 0
-        self.waiting: list[tuple[int, int, forwarding.Order]] = []
+        self.waiting: list[Waiting] = []
         self.arrivals = 0
-        self.waiting_by_rank: dict[int, int] = {}
+        self.waiting_by_turn: dict[Turn, int] = {}
         self.run_s: dict[str, float] = {}
         self.mean_s = FIRST_RUN_S
 
@@ -73,13 +84,14 @@
     def expected_run_s(self, route: str) -> float:
         return self.run_s.get(route, self.mean_s)
 
-    def expected_wait_s(self, rank: int) -> float:
+    def expected_wait_s(self, rank: int, late: bool = False) -> float:
         """How long a request of `rank` waits if it comes now."""
         free = self.slots - self.running
+        turn = (rank, late)
         ahead = sum(
             count
-            for other, count in self.waiting_by_rank.items()
-            if other <= rank
+            for other, count in self.waiting_by_turn.items()
+            if other <= turn
         )
         if ahead < free:
             return 0.0
@@ -94,16 +106,15 @@
                 return Verdict([], [order])
             self._start(order, now)
             return Verdict([order], [])
+        if now + wait_s + SLACK * run_s <= order.objective:
+            self._wait(order, late=False)
+            return Verdict([], [])
         if order.last:
-            in_time = now + wait_s + run_s <= order.deadline
-        else:
-            in_time = now + wait_s + SLACK * run_s <= order.objective
-        if not in_time:
-            return Verdict([], [order])
-        self.arrivals += 1
-        heapq.heappush(self.waiting, (order.rank, self.arrivals, order))
-        self._count(order.rank, 1)
-        return Verdict([], [])
+            wait_s = self.expected_wait_s(order.rank, late=True)
+            if now + wait_s + run_s <= order.deadline:
+                self._wait(order, late=True)
+                return Verdict([], [])
+        return Verdict([], [order])
 
     def finish(self, order: forwarding.Order, now: float) -> Verdict:
         """Give the slot of `order` back; name those that follow."""
@@ -123,30 +134,34 @@
         """Start what waits while there are slots."""
         verdict = Verdict([], [])
         while self.waiting and self.running < self.slots:
-            _, _, order = heapq.heappop(self.waiting)
-            self._count(order.rank, -1)
+            rank, late, _, order = heapq.heappop(self.waiting)
+            self._count((rank, late), -1)
             if order.settled:
                 continue
-            if now + self.expected_run_s(order.route) / 2 > order.deadline:
+            least_s = LEAST_RUN_SHARE * self.expected_run_s(order.route)
+            if now + least_s > order.deadline:
                 verdict.refused.append(order)
-                continue
-            self._start(order, now)
-            verdict.started.append(order)
+            elif not late and now + least_s > order.objective:
+                self._wait(order, late=True)
+            else:
+                self._start(order, now)
+                verdict.started.append(order)
         return verdict
 
     def withdraw(self, order: forwarding.Order) -> None:
         """Take out a waiting order."""
-        kept = [one for one in self.waiting if one[2] is not order]
-        if len(kept) < len(self.waiting):
-            heapq.heapify(kept)
-            self.waiting = kept
-            self._count(order.rank, -1)
+        for index, (rank, late, _, held) in enumerate(self.waiting):
+            if held is order:
+                del self.waiting[index]
+                heapq.heapify(self.waiting)
+                self._count((rank, late), -1)
+                return
 
     def drain(self) -> list[forwarding.Order]:
         """Take out all that waits."""
-        taken = [order for _, _, order in self.waiting]
+        taken = [order for _, _, _, order in self.waiting]
         self.waiting = []
-        self.waiting_by_rank = {}
+        self.waiting_by_turn = {}
         return taken
 
     def return_s(self, rank: int) -> float:
@@ -159,5 +174,11 @@
         self.running += 1
         order.started = now
 
-    def _count(self, rank: int, change: int) -> None:
-        self.waiting_by_rank[rank] = self.waiting_by_rank.get(rank, 0) + change
+    def _wait(self, order: forwarding.Order, late: bool) -> None:
+        self.arrivals += 1
+        entry = (order.rank, late, self.arrivals, order)
+        heapq.heappush(self.waiting, entry)
+        self._count((order.rank, late), 1)
+
+    def _count(self, turn: Turn, change: int) -> None:
+        self.waiting_by_turn[turn] = self.waiting_by_turn.get(turn, 0) + change
--- a/testing/test_slots.py
+++ b/testing/test_slots.py
@@ -133,27 +133,55 @@
     return result
 
 
-class InOrder(slots.SlotQueue):
-    """The same without order and refusal: all wait in one line."""
+class InOneLine(slots.SlotQueue):
+    """The same without ranks and refusals: first come, first served."""
 
     def arrive(self, asked: forwarding.Order, now: float) -> slots.Verdict:
-        rank, asked.rank, asked.last = asked.rank, 0, True
-        deadline, asked.deadline = asked.deadline, now + 1000
-        verdict = super().arrive(asked, now)
-        asked.rank, asked.deadline = rank, deadline + 1000
-        return verdict
+        self.line = [*getattr(self, 'line', []), asked]
+        return self.fill(now)
+
+    def fill(self, now: float) -> slots.Verdict:
+        started = []
+        while self.line and self.running < self.slots:
+            started.append(self.line.pop(0))
+            self.running += 1
+        return slots.Verdict(started, [])
 
 
 def test_at_twice_the_load_the_urgent_are_served() -> None:
     # In one line everybody waits longer than the objective; with ranks
     # and refusals the urgent do not notice.
     ruled = overload(slots.SlotQueue(12, random.Random(1)), 7, 2.0)
-    in_line = overload(InOrder(12, random.Random(1)), 7, 2.0)
+    in_line = overload(InOneLine(12, random.Random(1)), 7, 2.0)
     assert ruled.share(0) > 0.95
     assert ruled.share(0) >= ruled.share(1) >= ruled.share(2)
     assert sum(ruled.in_time.values()) > 3 * sum(in_line.in_time.values())
 
 
+def test_those_who_will_be_late_do_not_make_others_late(
+    randomness: random.Random,
+) -> None:
+    """A queue longer than the objective makes everybody late for ever.
+
+    Requests that nobody else takes fill the queue up to their deadline;
+    one that comes later and can make its objective goes before them.
+    """
+    queue = slots.SlotQueue(1, randomness)
+    first = order(0)
+    queue.arrive(first, 0.0)
+    for number in range(1, 9):
+        assert not queue.arrive(order(number, last=True), 0.0).refused
+    (second,) = queue.finish(first, 0.06).started
+    fresh = order(99, now=0.07)
+    assert queue.arrive(fresh, 0.07) == slots.Verdict([], [])
+    started = [second]
+    now = 0.07
+    while fresh not in started:
+        now += 0.05
+        started += queue.finish(started[-1], now).started
+    assert now < fresh.objective
+
+
 def test_below_the_load_nothing_is_refused() -> None:
     ruled = overload(slots.SlotQueue(12, random.Random(1)), 7, 0.6)
     assert all(ruled.share(rank) > 0.95 for rank in (0, 1, 2))
