--- /dev/null
+++ b/src/peridotpost/decisions/attempts.py
@@ -0,0 +1,102 @@
+"""What an ingress does after each outcome of a dispatch.
+
+Load pattern: targets refuse when full, fail, lose answers and crash,
+often several at a time, and callers whose request ended badly come again
+by themselves.  Sent again too eagerly a request runs twice or multiplies
+the load that made it fail; given up too early it is lost though another
+target had room.
+
+- A refusal proves that nothing ran: another target is asked, up to
+  ``MAX_REFUSALS`` of them.  Each question costs a way there and back;
+  beyond a few the fleet is full, and the caller is told so sooner.
+- After a run, or what may have been one, only an idempotent request goes
+  to another target, within the route's attempts, the time left and the
+  fleet's budget of repeats.
+- A refusal after a lost answer does not make the whole "not run".
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+
+from peridotpost.model import forwarding
+
+MAX_REFUSALS = 4
+MIN_REPEAT_S = 0.03
+"""Less time than this is left: no other target could answer."""
+FAILED_STATUS = 500
+
+
+class Step(enum.Enum):
+    """What comes next."""
+
+    AGAIN = enum.auto()
+    ANSWER = enum.auto()
+    GIVE_UP = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class Attempts:
+    """The dispatches of one request so far.
+
+    :param arrivals: dispatches that reached a target.
+    :param lost: why an answer was lost; empty if none was.
+    """
+
+    idempotent: bool
+    max_attempts: int
+    deadline: float
+    refusals: int = 0
+    arrivals: int = 0
+    lost: str = ''
+
+    @property
+    def is_last(self) -> bool:
+        """Whether a refusal of the next target ends the request."""
+        return self.refusals + 1 >= MAX_REFUSALS
+
+    def after(
+        self,
+        outcome: forwarding.Outcome,
+        now: float,
+        may_spend: Callable[[], bool],
+    ) -> Step:
+        """Note an outcome; return what comes next.
+
+        :param may_spend: takes a repeat out of the fleet's budget.
+        """
+        if isinstance(outcome, forwarding.Refused):
+            return self._after_refusal(outcome, now, may_spend)
+        self.arrivals += 1
+        if isinstance(outcome, forwarding.Lost):
+            self.lost = outcome.detail
+            failed = True
+        else:
+            failed = outcome.status >= FAILED_STATUS
+        if failed and self.idempotent and self._may_repeat(now, may_spend):
+            return Step.AGAIN
+        if isinstance(outcome, forwarding.Lost):
+            return Step.GIVE_UP
+        return Step.ANSWER
+
+    def _after_refusal(
+        self,
+        outcome: forwarding.Refused,
+        now: float,
+        may_spend: Callable[[], bool],
+    ) -> Step:
+        self.refusals += 1
+        if outcome.arrived:
+            self.arrivals += 1
+            if not self._may_repeat(now, may_spend):
+                return Step.GIVE_UP
+        if self.refusals >= MAX_REFUSALS:
+            return Step.GIVE_UP
+        return Step.AGAIN
+
+    def _may_repeat(self, now: float, may_spend: Callable[[], bool]) -> bool:
+        if self.arrivals >= self.max_attempts:
+            return False
+        if self.deadline - now < MIN_REPEAT_S:
+            return False
+        return may_spend()
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from peridotpost.decisions import attempts
 from peridotpost.decisions import budget as budget_rules
 from peridotpost.decisions import poison
 from peridotpost.decisions import selection
@@ -21,17 +22,11 @@
 from peridotpost.proxy import listener
 from peridotpost.proxy import names
 
-MAX_REFUSALS = 4
-"""Targets asked for a free slot.  Each question costs a way there and
-back; beyond a few the fleet is full, and the caller is told so sooner."""
 RANK_OF_CALLS = -1
 """Calls of targets go before requests of callers of any rank."""
-MIN_RETRY_S = 0.03
-"""Less time than this is left: no other target could answer."""
 NO_CONFIG_RETURN_S = 0.5
 NO_TARGET_RETURN_S = 0.25
 POISON_RETURN_S = 30.0
-DEFAULT_TIMEOUT_S = 30.0
 
 
 class Backends(Protocol):
@@ -74,13 +69,11 @@
         'rank',
         'head',
         'tried',
-        'refusals',
-        'arrivals',
+        'attempts',
         'order',
         'candidate',
         'slot',
         'over',
-        'lost',
         'retry_after_s',
     )
 
@@ -100,16 +93,16 @@
         self.started = deadlines.now()
         self.deadline = self.started + route.timeout_s
         self.objective = self.started + route.objective_s
+        self.attempts = attempts.Attempts(
+            route.idempotent, route.max_attempts, self.deadline
+        )
         self.rank = route.rank
         self.head = b''
         self.tried: set[str] = set()
-        self.refusals = 0
-        self.arrivals = 0
         self.order: forwarding.Order | None = None
         self.candidate: selection.Candidate | None = None
         self.slot = 0
         self.over = False
-        self.lost = ''
         self.retry_after_s = NO_TARGET_RETURN_S
 
     def abandoned(self) -> None:
@@ -205,6 +198,7 @@
             left_s = int(told) / 1000
             until = exchange.started + left_s
             exchange.deadline = min(exchange.deadline, until)
+            exchange.attempts.deadline = exchange.deadline
         exchange.objective = min(exchange.objective, exchange.deadline)
         if inner:
             exchange.rank = RANK_OF_CALLS
@@ -236,7 +230,7 @@
             )
             if candidate is None:
                 reason = forwarding.Refusal.NO_TARGET
-                if exchange.refusals:
+                if exchange.attempts.refusals:
                     reason = forwarding.Refusal.FULL
                 self._give_up(exchange, reason)
                 return
@@ -265,7 +259,7 @@
             rank=exchange.rank,
             deadline=exchange.deadline,
             objective=exchange.objective,
-            last=exchange.refusals + 1 >= MAX_REFUSALS,
+            last=exchange.attempts.is_last,
             done=lambda outcome: self._ended(
                 exchange, candidate, order, outcome
             ),
@@ -284,58 +278,43 @@
         if exchange.over or exchange.order is not order:
             return
         exchange.order = None
-        if isinstance(outcome, forwarding.Refused):
-            self._refused(exchange, outcome)
-            return
-        if not exchange.arrivals:
-            self.budget.request(exchange.service, deadlines.now())
-        exchange.arrivals += 1
         now = deadlines.now()
-        if isinstance(outcome, forwarding.Lost):
-            candidate.note(True, now)
-            exchange.lost = outcome.detail
-            self._log(exchange, 'lost', candidate.host, outcome.detail)
-            if self._may_repeat(exchange, now):
-                self._dispatch(exchange)
-            else:
-                self._give_up(exchange, forwarding.Refusal.UNREACHABLE)
-            return
-        failed = outcome.status >= 500
-        candidate.note(failed, now)
-        if failed and self._may_repeat(exchange, now):
+        self._note(exchange, candidate, outcome, now)
+        step = exchange.attempts.after(
+            outcome, now, lambda: self._may_spend(exchange, now)
+        )
+        if step is attempts.Step.AGAIN:
             self._dispatch(exchange)
-            return
-        self._answer(exchange, outcome)
+        elif isinstance(outcome, forwarding.TargetAnswer):
+            self._answer(exchange, outcome)
+        elif isinstance(outcome, forwarding.Refused):
+            self._give_up(exchange, outcome.reason)
+        else:
+            self._give_up(exchange, forwarding.Refusal.UNREACHABLE)
 
-    def _refused(
-        self, exchange: Exchange, outcome: forwarding.Refused
+    def _note(
+        self,
+        exchange: Exchange,
+        candidate: selection.Candidate,
+        outcome: forwarding.Outcome,
+        now: float,
     ) -> None:
-        exchange.refusals += 1
-        if outcome.retry_after_s:
-            exchange.retry_after_s = outcome.retry_after_s
-        now = deadlines.now()
-        if outcome.arrived:
-            exchange.arrivals += 1
-            if exchange.arrivals == 1:
-                self.budget.request(exchange.service, now)
-            if not self._may_repeat(exchange, now, ran=False):
-                self._give_up(exchange, outcome.reason)
-                return
-        if exchange.refusals >= MAX_REFUSALS:
-            self._give_up(exchange, outcome.reason)
-            return
-        self._dispatch(exchange)
+        """Learn from an outcome what it says of the target."""
+        arrived = True
+        if isinstance(outcome, forwarding.Refused):
+            arrived = outcome.arrived
+            if outcome.retry_after_s:
+                exchange.retry_after_s = outcome.retry_after_s
+        elif isinstance(outcome, forwarding.Lost):
+            candidate.note(True, now)
+            self._log(exchange, 'lost', candidate.host, outcome.detail)
+        else:
+            failed = outcome.status >= attempts.FAILED_STATUS
+            candidate.note(failed, now)
+        if arrived and not exchange.attempts.arrivals:
+            self.budget.request(exchange.service, now)
 
-    def _may_repeat(
-        self, exchange: Exchange, now: float, ran: bool = True
-    ) -> bool:
-        """Whether another target may get a request that reached one."""
-        if ran and not exchange.route.idempotent:
-            return False
-        if exchange.arrivals >= exchange.route.max_attempts:
-            return False
-        if exchange.deadline - now < MIN_RETRY_S:
-            return False
+    def _may_spend(self, exchange: Exchange, now: float) -> bool:
         members = self.backends.members()
         if self.budget.spend(exchange.service, members, now):
             self.counts.add('requests.repeated')
@@ -347,9 +326,9 @@
         self, exchange: Exchange, outcome: forwarding.TargetAnswer
     ) -> None:
         self._end(exchange)
-        if self.poison.suspects and outcome.status < 500:
+        if self.poison.suspects and outcome.status < attempts.FAILED_STATUS:
             self.poison.cleared((self._fingerprint(exchange),))
-        if outcome.status >= 500:
+        if outcome.status >= attempts.FAILED_STATUS:
             detail = str(outcome.status)
             self._log(exchange, 'failed', self._host(exchange), detail)
         self._observe(exchange, outcome.status)
@@ -361,9 +340,9 @@
 
     def _give_up(self, exchange: Exchange, reason: forwarding.Refusal) -> None:
         """Answer for a request that no target will answer."""
-        if exchange.lost:
+        if exchange.attempts.lost:
             self._end(exchange)
-            self._log(exchange, 'unknown', '', exchange.lost)
+            self._log(exchange, 'unknown', '', exchange.attempts.lost)
             self._own_answer(exchange, Problem(502, 'outcome-unknown'))
         else:
             self._refuse(exchange, reason)
@@ -381,9 +360,9 @@
         dispatched = exchange.order is not None
         self._end(exchange)
         self._withdraw(exchange)
-        detail = exchange.lost or 'no answer in time'
+        detail = exchange.attempts.lost or 'no answer in time'
         self._log(exchange, 'timeout', self._host(exchange), detail)
-        if dispatched or exchange.lost:
+        if dispatched or exchange.attempts.lost:
             self._own_answer(exchange, Problem(504, 'timeout'))
         else:
             self._own_answer(
@@ -443,7 +422,7 @@
             target=target,
             detail=detail,
             tried=sorted(exchange.tried),
-            arrivals=exchange.arrivals,
+            arrivals=exchange.attempts.arrivals,
             elapsed_ms=round((now - exchange.started) * 1000),
             left_ms=round((exchange.deadline - now) * 1000),
             version=self.config.version if self.config else 0,
