A stopping proxy takes nothing new while it ends the rest

A daemon with SIGTERM at 20.028 took a request at 25.141 and was killed at 25.328 with it. Cause: the listener stayed open until the process was idle, which it never was while callers kept sending. Ruled out: the target (it was cut by our exit). Now the listener and idle connections close when callers have been kept away; what runs is waited for.

--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -204,11 +204,13 @@
         self.requests.closing = True
         withdrawing = asyncio.ensure_future(self.feed.withdraw())
         await asyncio.sleep(OUT_OF_ROTATION_S - GUARD_STOPS_S)
-        while self._in_flight() and deadlines.now() < end:
-            await asyncio.sleep(POLL_S)
+        # Callers may go on sending, so this process need never be idle; what
+        # it took last would be cut at the end of the grace.
         self.requests.stop_listening()
         while self._in_flight() and deadlines.now() < end:
+            self.requests.close_idle()
             await asyncio.sleep(POLL_S)
+        self.requests.close_idle()
         await tasks.end(withdrawing)
         self.log.state('stage', to='left', in_flight=self._in_flight())
 
--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -157,6 +157,10 @@
         if pending is not None:
             pending.abandoned()
 
+    def close_if_idle(self) -> None:
+        if not self.busy and not self.partial and self.transport is not None:
+            self.transport.close()
+
     def check(self, now: float) -> None:
         """Close a connection that is idle or whose sender stalls."""
         if self.busy or self.transport is None:
@@ -205,6 +209,11 @@
             self.server.close()
             self.server = None
 
+    def close_idle(self) -> None:
+        """Close connections on which nothing has begun."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
     def close(self) -> None:
         self.stop_listening()
         for connection in list(self.connections):
--- a/testing/test_proxy_leaving.py
+++ b/testing/test_proxy_leaving.py
@@ -172,3 +172,27 @@
         await leaving
         assert [one.status for one in answers] == [200, 200]
         assert answers[0].headers['connection'] == 'close'
+
+
+async def test_a_stopping_proxy_takes_nothing_new_while_it_ends_the_rest(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A proxy that stops still has a long request under way.  Callers keep
+    sending on connections that they hold and on new ones, so it is never
+    idle, and the last requests that it took are cut when it is killed."""
+    monkeypatch.setattr('peridotpost.mesh.daemon.GUARD_STOPS_S', 0.0)
+    monkeypatch.setattr('peridotpost.mesh.daemon.OUT_OF_ROTATION_S', 0.0)
+    async with proxies.pair() as (_, first, _second):
+        held = asyncio.ensure_future(first.ask('/read/hold'))
+        await proxies.until(lambda: first.proxy.requests.busy == 1)
+        async with first.caller() as idle:
+            assert (await idle.ask('/read/ok')).status == 200
+            leaving = asyncio.ensure_future(first.proxy.leave())
+            assert await idle.reader.read() == b''
+        with pytest.raises(ConnectionRefusedError):
+            await first.ask('/read/ok')
+        assert not held.done()
+        for host in (first, _second):
+            host.worker.release.set()
+        assert (await held).status == 200
+        await leaving
