--- a/src/peridotpost/decisions/selection.py
+++ b/src/peridotpost/decisions/selection.py
@@ -15,6 +15,9 @@
   then buys next to nothing for the caller.
 - Else all targets are compared, and another zone is used only for one
   that takes less than ``WORTH_CROSSING`` of the own zone's time.
+- After a refusal, another zone is asked only where a slot is likely to be
+  free: when all are full, each question would cost bytes and find nothing.
+  The own zone is then asked once more, as the last resort.
 - A target that fails what it takes is put back by the time that a failure
   costs the caller; one request in ``TRIAL_EVERY`` still goes there first,
   as its recovery would else never be seen.
@@ -34,6 +37,8 @@
 
 OWN_ZONE_SHARE = 0.9
 WORTH_CROSSING = 0.7
+FULL = 1.0
+MOST_COMPARED = 8
 DRAW_POWER = 3
 """A target that takes twice as long gets an eighth of the requests."""
 REPORT_HALF_LIFE_S = 0.5
@@ -104,13 +109,19 @@
         age = max(0.0, now - self.failing_at)
         return float(self.failing * 0.5 ** (age / FAILURE_HALF_LIFE_S))
 
-    def expected_s(self, route: str, now: float) -> float:
-        """Return the time until an answer, the way there left out."""
-        slots = max(1, self.slots)
+    def load_now(self, now: float) -> float:
+        """Return what is likely to run and wait there, per slot."""
         age = max(0.0, now - self.load_at)
-        reported = self.load * 0.5 ** (age / REPORT_HALF_LIFE_S)
-        load = max(reported, (self.outstanding + 1) / slots)
-        run_s = self.run_by_route.get(route, self.run_s)
+        reported: float = self.load * 0.5 ** (age / REPORT_HALF_LIFE_S)
+        return max(reported, (self.outstanding + 1) / max(1, self.slots))
+
+    def expected_s(self, route: str, usual_s: float, now: float) -> float:
+        """Return the time until an answer, the way there left out.
+
+        :param usual_s: run time of the route where none is known here.
+        """
+        load = self.load_now(now)
+        run_s = self.run_by_route.get(route, usual_s)
         if now < self.cold_until:
             run_s *= COLD_FACTOR
         wait_s = 0.0
@@ -142,6 +153,8 @@
         usable = [
             one for one in candidates if one.ready and one.host not in tried
         ]
+        if tried:
+            usable = [one for one in usable if self._hopeful(one, now)]
         if len(usable) < 2:
             return usable[0] if usable else None
         self.choices += 1
@@ -149,32 +162,74 @@
             shunned = [one for one in usable if one.failure_share(now) > 0.1]
             if shunned:
                 return self.randomness.choice(shunned)
+        usual_s = _usual_run_s(usable, route)
         own = [one for one in usable if one.availability_zone == self.zone]
         if not own:
-            return self._draw(usable, route, now)
-        best = self._draw(own, route, now)
-        expected_s = best.expected_s(route, now)
-        if expected_s <= OWN_ZONE_SHARE * objective_left_s:
+            return self._draw(self._some(usable), route, usual_s, now)[0]
+        limit_s = OWN_ZONE_SHARE * objective_left_s
+        best, expected_s = self._draw(own, route, usual_s, now)
+        if expected_s <= limit_s or len(own) == len(usable):
             return best
-        best = min(own, key=lambda one: one.expected_s(route, now))
-        expected_s = best.expected_s(route, now)
-        if expected_s <= OWN_ZONE_SHARE * objective_left_s:
+        for one in own:
+            other_s = one.expected_s(route, usual_s, now)
+            if other_s < expected_s:
+                best, expected_s = one, other_s
+        if expected_s <= limit_s:
             return best
-        best_far = self._draw(usable, route, now)
-        if best_far.expected_s(route, now) < WORTH_CROSSING * expected_s:
-            return best_far
-        return best
+        far, far_s = self._draw(self._some(usable), route, usual_s, now)
+        return far if far_s < WORTH_CROSSING * expected_s else best
+
+    def last_resort(
+        self, candidates: Iterable[Candidate], route: str, now: float
+    ) -> Candidate | None:
+        """Return who is to take what nobody had a free slot for."""
+        ready = [one for one in candidates if one.ready]
+        own = [one for one in ready if one.availability_zone == self.zone]
+        among = own or self._some(ready)
+        if not among:
+            return None
+        usual_s = _usual_run_s(among, route)
+        return self._draw(among, route, usual_s, now)[0]
+
+    def _hopeful(self, one: Candidate, now: float) -> bool:
+        near = one.availability_zone == self.zone
+        return near or one.load_now(now) < FULL
+
+    def _some(self, usable: list[Candidate]) -> list[Candidate]:
+        """Return a few at random; comparing all costs more than it brings."""
+        if len(usable) <= MOST_COMPARED:
+            return usable
+        return self.randomness.sample(usable, MOST_COMPARED)
 
     def _draw(
-        self, among: list[Candidate], route: str, now: float
-    ) -> Candidate:
-        """Draw a target, the faster ones more often.
+        self,
+        among: list[Candidate],
+        route: str,
+        usual_s: float,
+        now: float,
+    ) -> tuple[Candidate, float]:
+        """Draw a target, the faster ones more often; tell its time.
 
         All ingresses see much the same figures; with the fastest taken
         each time they would rush there together, and a target that just
         joined would never get the first requests that show its speed.
         """
+        times = [one.expected_s(route, usual_s, now) for one in among]
         if len(among) == 1:
-            return among[0]
-        weights = [one.expected_s(route, now) ** -DRAW_POWER for one in among]
-        return self.randomness.choices(among, weights)[0]
+            return among[0], times[0]
+        weights = [one**-DRAW_POWER for one in times]
+        index = self.randomness.choices(range(len(among)), weights)[0]
+        return among[index], times[index]
+
+
+def _usual_run_s(usable: list[Candidate], route: str) -> float:
+    """Return a route's run time as far as it is known anywhere.
+
+    A target that joined is judged by it until it told its own; judged by
+    the mean of other routes, it was taken for eight times slower than its
+    neighbours at a short route, and got nothing.
+    """
+    known = [
+        one.run_by_route[route] for one in usable if route in one.run_by_route
+    ]
+    return sum(known) / len(known) if known else FIRST_RUN_S
--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -18,6 +18,7 @@
   refused once the answer would miss the objective, so that another target
   is asked while that still helps; the last choice is refused only when it
   can't make its deadline.
+- Of those that will be late only a few wait at a time.
 - One that can't make its deadline any more is refused the moment a slot
   frees, not when the deadline passes.
 - The refused are told when a slot is expected, spread over half of that
@@ -45,6 +46,9 @@
 LEAST_RUN_SHARE = 0.5
 """One in five runs takes less than half of the mean; below that a start
 is as good as lost."""
+LATE_SHARE = 0.25
+"""Late ones that wait, per slot: what some tens of milliseconds of idle
+slots serve."""
 
 Turn = tuple[int, bool]
 """Rank, and whether the objective will be missed: who goes first."""
@@ -109,7 +113,7 @@
         if now + wait_s + SLACK * run_s <= order.objective:
             self._wait(order, late=False)
             return Verdict([], [])
-        if order.last:
+        if order.last and self._takes_late():
             wait_s = self.expected_wait_s(order.rank, late=True)
             if now + wait_s + run_s <= order.deadline:
                 self._wait(order, late=True)
@@ -174,6 +178,17 @@
         self.running += 1
         order.started = now
 
+    def _takes_late(self) -> bool:
+        """Whether one more may wait that will be late anyhow.
+
+        Those get the slots that nobody in time asks for; when there are
+        none, a long line of them would wait for nothing.
+        """
+        late = sum(
+            count for turn, count in self.waiting_by_turn.items() if turn[1]
+        )
+        return late < max(1, int(self.slots * LATE_SHARE))
+
     def _wait(self, order: forwarding.Order, late: bool) -> None:
         self.arrivals += 1
         entry = (order.rank, late, self.arrivals, order)
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -13,6 +13,7 @@
 from peridotpost.decisions import poison
 from peridotpost.decisions import selection
 from peridotpost.decisions import split
+from peridotpost.decisions import waited
 from peridotpost.kernel import counters
 from peridotpost.kernel import lines
 from peridotpost.model import forwarding
@@ -74,6 +75,7 @@
         'candidate',
         'slot',
         'over',
+        'last_asked',
         'retry_after_s',
     )
 
@@ -103,6 +105,7 @@
         self.candidate: selection.Candidate | None = None
         self.slot = 0
         self.over = False
+        self.last_asked = False
         self.retry_after_s = NO_TARGET_RETURN_S
 
     def abandoned(self) -> None:
@@ -133,6 +136,7 @@
         self.log = log
         self.randomness = randomness
         self.splitter = split.Splitter()
+        self.deadlines_told = waited.DeadlineBook()
         self.poison = poison.PoisonList()
         self.config: mesh.MeshConfig | None = None
         self.caller_head = (
@@ -197,6 +201,11 @@
             # The operators' timeout bounds what callers ask for.
             left_s = int(told) / 1000
             until = exchange.started + left_s
+            if not inner:
+                # An objective counts from the caller's first attempt.
+                exchange.objective -= self.deadlines_told.waited_s(
+                    exchange.route.name, left_s, exchange.started
+                )
             exchange.deadline = min(exchange.deadline, until)
             exchange.attempts.deadline = exchange.deadline
         exchange.objective = min(exchange.objective, exchange.deadline)
@@ -221,13 +230,7 @@
             self._give_up(exchange, forwarding.Refusal.TOO_LATE)
             return
         while True:
-            candidate = self.selector.choose(
-                self.backends.candidates(exchange.service),
-                exchange.route.name,
-                exchange.tried,
-                exchange.objective - now,
-                now,
-            )
+            candidate = self._choose(exchange, now)
             if candidate is None:
                 reason = forwarding.Refusal.NO_TARGET
                 if exchange.attempts.refusals:
@@ -243,6 +246,24 @@
                 return
             candidate.outstanding -= 1
 
+    def _choose(
+        self, exchange: Exchange, now: float
+    ) -> selection.Candidate | None:
+        route = exchange.route.name
+        candidates = list(self.backends.candidates(exchange.service))
+        left_s = exchange.objective - now
+        if left_s <= 0:
+            left_s = exchange.deadline - now
+        found = None
+        if not exchange.attempts.is_last:
+            found = self.selector.choose(
+                candidates, route, exchange.tried, left_s, now
+            )
+        if found is None and not exchange.last_asked:
+            exchange.last_asked = True
+            found = self.selector.last_resort(candidates, route, now)
+        return found
+
     def _order(
         self, exchange: Exchange, candidate: selection.Candidate
     ) -> forwarding.Order:
@@ -259,7 +280,7 @@
             rank=exchange.rank,
             deadline=exchange.deadline,
             objective=exchange.objective,
-            last=exchange.attempts.is_last,
+            last=exchange.last_asked,
             done=lambda outcome: self._ended(
                 exchange, candidate, order, outcome
             ),
--- a/testing/test_selection.py
+++ b/testing/test_selection.py
@@ -11,6 +11,7 @@
 ) -> selection.Candidate:
     found = selection.Candidate(host, zone, ready=True, slots=12)
     found.report(load, 0.0)
+    found.report_run('r', run_s)
     found.run_s = run_s
     return found
 
@@ -100,3 +101,31 @@
     near.report_run('r', 0.03)
     far.report_run('r', 0.02)
     assert shares([near, far], randomness, objective_s=0.1)['a'] == 2000
+
+
+def test_a_target_that_joins_gets_requests_of_a_short_route(
+    randomness: random.Random,
+) -> None:
+    """A target joined a service whose calls take 15 ms and got nothing.
+
+    Nothing was known of its run times, so it was judged by a mean over
+    all routes and taken for eight times slower than its neighbour.
+    """
+    old, new = target('a', run_s=0.015), target('b')
+    new.run_by_route.clear()
+    new.cold_until = 5.0
+    assert shares([old, new], randomness)['b'] > 100
+
+
+def test_no_other_zone_is_asked_when_all_are_known_to_be_full(
+    randomness: random.Random,
+) -> None:
+    """In a surge every request asked three full targets in other zones.
+
+    The questions found nothing and were most of the bytes between zones.
+    """
+    selector = selection.Selector('own', randomness)
+    full = [target('a', load=3.0), target('b', 'far', load=3.0)]
+    assert selector.choose(full, 'r', {'a'}, 0.2, 0.0) is None
+    found = selector.last_resort(full, 'r', 0.0)
+    assert found is not None and found.host == 'a'
