--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -13,7 +13,6 @@
 from peridotpost.decisions import poison
 from peridotpost.decisions import selection
 from peridotpost.decisions import split
-from peridotpost.decisions import waited
 from peridotpost.kernel import counters
 from peridotpost.kernel import lines
 from peridotpost.model import forwarding
@@ -136,7 +135,6 @@
         self.log = log
         self.randomness = randomness
         self.splitter = split.Splitter()
-        self.deadlines_told = waited.DeadlineBook()
         self.poison = poison.PoisonList()
         self.config: mesh.MeshConfig | None = None
         self.caller_head = (
@@ -201,11 +199,6 @@
             # The operators' timeout bounds what callers ask for.
             left_s = int(told) / 1000
             until = exchange.started + left_s
-            if not inner:
-                # An objective counts from the caller's first attempt.
-                exchange.objective -= self.deadlines_told.waited_s(
-                    exchange.route.name, left_s, exchange.started
-                )
             exchange.deadline = min(exchange.deadline, until)
             exchange.attempts.deadline = exchange.deadline
         exchange.objective = min(exchange.objective, exchange.deadline)
