--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -148,12 +148,14 @@
                 page = listener.Port(self.adapter.headers, self._metrics_page)
                 await self._listen(stack, page, listen.metrics)
             running = [
-                asyncio.ensure_future(self.feed.watch()),
+                asyncio.ensure_future(self.feed.poll_records()),
                 asyncio.ensure_future(self.feed.keep_record()),
                 asyncio.ensure_future(self._sweep_peers()),
                 asyncio.ensure_future(self._sweep_ports()),
                 asyncio.ensure_future(self._follow()),
             ]
+            if not self.versions.following.slow:
+                running.append(asyncio.ensure_future(self.feed.watch()))
             try:
                 yield self
             finally:
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -134,12 +134,6 @@
         for record in records:
             self.learn(record, recorded=True)
 
-    def record_gone(self, host: str) -> None:
-        peer = self.peers.get(host)
-        if peer is not None:
-            peer.recorded = False
-            peer.missing_since = deadlines.now()
-
     def learn(
         self, record: instances.HostRecord, recorded: bool = False
     ) -> None:
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -1,8 +1,9 @@
 """What the store brings: configurations, and records of other daemons.
 
-One watch covers both.  The store may be slow, down, cut off, refuse just
-this host, lose answers or drop its history; whatever happens, the loop
-reads all again and goes on, and what was known stays in force meanwhile.
+The configuration is watched, records are polled.  The store may be slow,
+down, cut off, refuse just this host, lose answers or drop its history;
+whatever happens, the loops read all again and go on, and what was known
+stays in force meanwhile.
 """
 
 import asyncio
@@ -30,39 +31,47 @@
 store is asked at most so often by each daemon while versions come several
 a second or a whole fleet registers, and a version still is in force well
 within the two seconds that operators count on."""
+FRESH_READS = 2
+FRESH_POLL_S = 1.0
+POLL_S = 2.5
+"""Pauses between reads of the records: the first ones current, to find
+those that start at the same time, then stale ones, at a tenth of a call."""
+SETTLED_S = 8.0
+"""Age of an own record from which a read without it counts: stale reads
+were seen some three seconds old."""
 LEASE_TTL_S = 5.0
 RENEW_S = 1.6
 """A third of the lease: two renewals may fail before it lapses."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A key as it was written, or its end (`value` is None)."""
-
-    key: str
-    value: bytes | None
-    revision: int
+class ConfigRead:
+    """The configuration as the store holds it.
 
+    :param raw: None where there is none, or none since the last read.
+    :param revision: of the store; a watch goes on from it.
+    """
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
-    """Changes in order, and the revision to go on from."""
-
-    changes: Sequence[Change]
+    raw: bytes | None
     revision: int
 
 
 class Feed(Protocol):
-    """What this loop needs of the platform; each call raises StoreError."""
+    """What is needed of the platform; each call raises ``StoreError``."""
+
+    async def read_config(self) -> ConfigRead:
+        """Return the configuration as it stands."""
 
-    async def read_config(self) -> Change | None:
-        """Return the configuration as it stands, None without one."""
+    async def next_config(self, revision: int) -> ConfigRead:
+        """Wait for a change after `revision`, for some seconds at most."""
 
-    async def snapshot(self, with_config: bool) -> Batch:
-        """Return all records, and the configuration, as they stand."""
+    async def read_records(
+        self, stale: bool
+    ) -> Sequence[instances.HostRecord]:
+        """Return the records of all hosts.
 
-    async def changes(self, revision: int, with_config: bool) -> Batch:
-        """Wait for changes after `revision`; may return none."""
+        :param stale: an answer that is seconds old will do.
+        """
 
     async def register(self, record: instances.HostRecord, lease: int) -> None:
         """Write this host's record under the lease."""
@@ -76,15 +85,6 @@
     async def end(self, lease: int) -> None:
         """End a lease; its keys go."""
 
-    def record_of(self, change: Change) -> instances.HostRecord | None:
-        """Decode a host's record, None if it can't be used."""
-
-    def host_of(self, key: str) -> str | None:
-        """Return the host whose record `key` is, None for other keys."""
-
-    def is_config(self, key: str) -> bool:
-        """Whether `key` holds the configuration."""
-
 
 class StoreFeed:
     """Runs the watch and keeps this host's record."""
@@ -109,26 +109,24 @@
         self.reachable: bool | None = None
         self.lease = 0
         self.written = False
+        self.written_at = 0.0
         self.wake = asyncio.Event()
 
     async def watch(self) -> None:
-        """Follow the store until cancelled."""
+        """Follow the configuration in the store until cancelled."""
         pause_s = RETRY_S
         revision = 0
-        slow = self.versions.following.slow
         while not tasks.cancelled():
             try:
                 if not revision:
-                    written = self.written
-                    batch = await self.feed.snapshot(not slow)
-                    self._take_snapshot(batch, written)
+                    read = await self.feed.read_config()
                 else:
-                    batch = await self.feed.changes(revision, not slow)
-                    self._take_changes(batch)
-                revision = batch.revision
+                    read = await self.feed.next_config(revision)
+                revision = read.revision
                 pause_s = RETRY_S
                 self._note(True, '')
-                if batch.changes:
+                if read.raw is not None:
+                    self.versions.offer(read.raw, 'store')
                     await asyncio.sleep(GATHER_S)
             except errors.StoreCompacted:
                 # What was missed is not kept; read all again at once.
@@ -141,6 +139,28 @@
                 await asyncio.sleep(pause_s * self._spread())
                 pause_s = min(MAX_RETRY_S, 1.5 * pause_s)
 
+    async def poll_records(self) -> None:
+        """Read the hosts' records now and then, until cancelled.
+
+        A host that joins dials all that it reads of, so nobody needs to
+        be told of it by the store; the polls bring together those that
+        started at once, or were cut off from each other.
+        """
+        reads = 0
+        while not tasks.cancelled():
+            stale = reads >= FRESH_READS
+            try:
+                records = await self.feed.read_records(stale)
+                self._take_records(records)
+                self._note_reads(True, '')
+                reads += 1
+                pause_s = POLL_S if stale else FRESH_POLL_S
+            except errors.StoreError as error:
+                self.counts.add('store.records-failed')
+                self._note_reads(False, str(error))
+                pause_s = MAX_RETRY_S
+            await asyncio.sleep(pause_s * self._spread())
+
     async def read_if_unheard(self) -> None:
         """Read the configuration if those who follow it are not heard of."""
         if not self.versions.following.reads_now(deadlines.now()):
@@ -151,8 +171,8 @@
         except errors.StoreError as error:
             self._note(False, str(error))
             return
-        if found is not None and found.value is not None:
-            self.versions.offer(found.value, 'store')
+        if found.raw is not None:
+            self.versions.offer(found.raw, 'store')
 
     async def keep_record(self) -> None:
         """Keep this host's record in the store until cancelled."""
@@ -165,6 +185,7 @@
                 if not self.written:
                     await self.feed.register(self.own, self.lease)
                     self.written = True
+                    self.written_at = deadlines.now()
                     self.log.state('record', to='written', lease=self.lease)
                 await self._rest(RENEW_S * (0.9 + 0.1 * self._spread()))
                 if not self.written:
@@ -215,50 +236,18 @@
         to = 'reachable' if reachable else 'unreachable'
         self.log.state('store', to=to, error=error)
 
-    def _take_snapshot(self, batch: Batch, written: bool) -> None:
-        """Take all; `written` is whether the own record has to be in it."""
-        records = []
-        for change in batch.changes:
-            if self.feed.is_config(change.key):
-                if change.value is not None:
-                    self.versions.offer(change.value, 'store')
-                continue
-            record = self.feed.record_of(change)
-            if record is not None:
-                records.append(record)
-        self.directory.recorded(records)
-        if written and self.own.host not in {one.host for one in records}:
-            self.record_lost()
+    def _note_reads(self, reachable: bool, error: str) -> None:
+        """Tell the store's state by the polls where nothing is watched."""
+        if self.versions.following.slow:
+            self._note(reachable, error)
 
-    def _take_changes(self, batch: Batch) -> None:
-        newest: Change | None = None
-        for change in batch.changes:
-            if self.feed.is_config(change.key):
-                newest = change
-                continue
-            host = self.feed.host_of(change.key)
-            if host is None:
-                continue
-            if change.value is None:
-                self._record_gone(host)
-                continue
-            record = self.feed.record_of(change)
-            if record is None:
-                continue
-            if record.host == self.own.host:
-                self._own_record_written(record)
-            else:
-                self.directory.learn(record, recorded=True)
-        if newest is not None and newest.value is not None:
-            self.versions.offer(newest.value, 'store')
-
-    def _own_record_written(self, record: instances.HostRecord) -> None:
-        if record.incarnation != self.own.incarnation:
-            # A write of the process before was carried out late.
-            self.record_lost()
-
-    def _record_gone(self, host: str) -> None:
-        if host == self.own.host:
+    def _take_records(self, records: Sequence[instances.HostRecord]) -> None:
+        self.directory.recorded(records)
+        found = {one.host: one for one in records}.get(self.own.host)
+        if found is not None and found.incarnation == self.own.incarnation:
+            return
+        # The store dropped the record though its lease lives, or carried
+        # out a write of the process before late.  A read that is seconds
+        # old says nothing of a record that was just written.
+        if self.written and deadlines.now() - self.written_at > SETTLED_S:
             self.record_lost()
-        else:
-            self.directory.record_gone(host)
--- a/src/peridotpost/platform/store.py
+++ b/src/peridotpost/platform/store.py
@@ -29,9 +29,13 @@
 
 
 class _Item(msgspec.Struct):
-    """:param revision: of its last change."""
+    """A key as it stands, or its end.
 
-    key: str
+    :param revision: of its last change.
+    :param at: of the store; in answers to reads of one key only.
+    """
+
+    key: str = ''
     value: str = ''
     revision: int = 0
     created: int = 0
@@ -79,47 +83,18 @@
         self.watching.close()
         self.calling.close()
 
-    async def read_config(self) -> storefeed.Change | None:
-        item = await self._config_item()
-        return None if item is None else self._change(item)
-
-    async def _config_item(self) -> _Item | None:
+    async def read_config(self) -> storefeed.ConfigRead:
         found = await self._get('kv-key', {'key': CONFIG_KEY}, READ_S)
-        if found.status == 404:
-            return None
-        if found.status != 200:
+        if found.status not in (200, 404):
             raise self._refused('kv-key', found)
-        return _decode(found.body, _Item)
-
-    async def snapshot(self, with_config: bool) -> storefeed.Batch:
-        changes: list[storefeed.Change] = []
-        at = 0
-        item = await self._config_item() if with_config else None
-        if item is not None:
-            at = item.at
-            changes.append(self._change(item))
-        after = ''
-        while True:
-            query = {'prefix': RECORDS}
-            if after:
-                query['after'] = after
-            told = await self._get('kv-range', query)
-            if told.status != 200:
-                raise self._refused('kv-range', told)
-            page = _decode(told.body, _Range)
-            changes += [self._change(one) for one in page.items]
-            # Pages are no snapshot: what changes between the first read
-            # and the last is in the watch from the first one's revision.
-            at = min(at, page.at) if at else page.at
-            if not page.has_more or not page.items:
-                return storefeed.Batch(changes, at)
-            after = page.items[-1].key
+        item = _decode(found.body, _Item)
+        if found.status == 404:
+            return storefeed.ConfigRead(None, item.at)
+        return storefeed.ConfigRead(_value_of(item), item.at)
 
-    async def changes(
-        self, revision: int, with_config: bool
-    ) -> storefeed.Batch:
+    async def next_config(self, revision: int) -> storefeed.ConfigRead:
         query = {
-            'prefix': '' if with_config else RECORDS,
+            'prefix': CONFIG_KEY,
             'after': str(revision),
             'waitMs': str(WATCH_MS),
         }
@@ -133,8 +108,30 @@
         if told.status != 200:
             raise self._refused('kv-watch', told)
         events = _decode(told.body, _Events)
-        changes = [self._change(one) for one in events.events]
-        return storefeed.Batch(changes, max(revision, events.at))
+        raw = None
+        for item in events.events:
+            if item.key == CONFIG_KEY and not item.deleted:
+                raw = _value_of(item)
+        return storefeed.ConfigRead(raw, max(revision, events.at))
+
+    async def read_records(self, stale: bool) -> list[instances.HostRecord]:
+        found: list[instances.HostRecord] = []
+        query = {'prefix': RECORDS}
+        if stale:
+            query['staleOk'] = '1'
+        while True:
+            told = await self._get('kv-range', query)
+            if told.status != 200:
+                raise self._refused('kv-range', told)
+            page = _decode(told.body, _Range)
+            found += [
+                record
+                for record in map(_record_of, page.items)
+                if record is not None
+            ]
+            if not page.has_more or not page.items:
+                return found
+            query['after'] = page.items[-1].key
 
     async def register(self, record: instances.HostRecord, lease: int) -> None:
         value = msgspec.json.encode(
@@ -181,41 +178,6 @@
         if told.status not in (200, 404):
             raise self._refused('kv-lease-end', told)
 
-    def record_of(
-        self, change: storefeed.Change
-    ) -> instances.HostRecord | None:
-        if change.value is None:
-            return None
-        try:
-            told = msgspec.json.decode(change.value, type=_Record)
-        except msgspec.MsgspecError:
-            # Another writer's; it names no host to use.
-            return None
-        return instances.HostRecord(
-            told.host,
-            told.availability_zone,
-            told.address,
-            told.port,
-            told.incarnation,
-        )
-
-    def host_of(self, key: str) -> str | None:
-        if not key.startswith(RECORDS):
-            return None
-        return key.removeprefix(RECORDS)
-
-    def is_config(self, key: str) -> bool:
-        return key == CONFIG_KEY
-
-    def _change(self, item: _Item) -> storefeed.Change:
-        if item.deleted:
-            return storefeed.Change(item.key, None, item.revision)
-        try:
-            value = base64.b64decode(item.value, validate=True)
-        except ValueError:
-            value = b''
-        return storefeed.Change(item.key, value, item.revision)
-
     async def _get(
         self, call: str, query: dict[str, str], timeout_s: float = CALL_S
     ) -> client.Response:
@@ -253,6 +215,29 @@
         return kind(f'status {told.status}', step=call, peer=self.peer)
 
 
+def _value_of(item: _Item) -> bytes:
+    """Return an item's bytes; none where another writer spoiled them."""
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError:
+        return b''
+
+
+def _record_of(item: _Item) -> instances.HostRecord | None:
+    try:
+        told = msgspec.json.decode(_value_of(item), type=_Record)
+    except msgspec.MsgspecError:
+        # Another writer's; it names no host to use.
+        return None
+    return instances.HostRecord(
+        told.host,
+        told.availability_zone,
+        told.address,
+        told.port,
+        told.incarnation,
+    )
+
+
 def _decode(raw: bytes, kind: type[ItemT]) -> ItemT:
     try:
         return msgspec.json.decode(raw, type=kind)
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -61,11 +61,11 @@
     accepted meanwhile and has to be in force there too."""
     async with proxies.pair() as (mesh, first, second):
 
-        async def refused(*given: object) -> storefeed.Batch:
+        async def refused(*given: object) -> storefeed.ConfigRead:
             raise errors.StoreRefused('status 503', step='watch')
 
-        monkeypatch.setattr(first.proxy.adapter.feed, 'changes', refused)
-        monkeypatch.setattr(first.proxy.adapter.feed, 'snapshot', refused)
+        monkeypatch.setattr(first.proxy.adapter.feed, 'next_config', refused)
+        monkeypatch.setattr(first.proxy.adapter.feed, 'read_config', refused)
         # The watch that waits already brings one change more.
         await mesh.kv.configure(proxies.config(5))
         await proxies.until(lambda: first.proxy.versions.version == 5)
