--- a/src/peridotpost/admin/pages.py
+++ b/src/peridotpost/admin/pages.py
@@ -11,7 +11,7 @@
 
 from peridotpost.admin import models
 from peridotpost.admin import rollout
-from peridotpost.calls import peers
+from peridotpost.calls import sockets as ports
 from peridotpost.distribution import replica as replicas
 from peridotpost.distribution import server as control
 from peridotpost.distribution import source as sources
@@ -205,7 +205,7 @@
         (r'/v1/targets/([a-z][a-z0-9-]{0,62})', TargetPage, arguments),
     ]
     server = httpserver.HTTPServer(web.Application(handlers))
-    sockets = peers.bind(address, port, 'admin_port')
+    sockets = ports.bind(address, port, 'admin_port')
     server.add_sockets(sockets)
     try:
         yield sockets[0].getsockname()[1]
--- a/src/peridotpost/calls/ingress.py
+++ b/src/peridotpost/calls/ingress.py
@@ -15,10 +15,10 @@
 
 from peridotpost.calls import connections
 from peridotpost.calls import guard as guards
-from peridotpost.calls import peers
 from peridotpost.calls import problems
 from peridotpost.calls import requests
 from peridotpost.calls import router as routers
+from peridotpost.calls import sockets as ports
 from peridotpost.decisions import idempotency
 from peridotpost.distribution import replica as replicas
 from peridotpost.kernel import counters
@@ -290,7 +290,7 @@
         idle_connection_timeout=300,
         body_timeout=BODY_TIMEOUT_S,
     )
-    sockets = peers.bind(address, port, setting)
+    sockets = ports.bind(address, port, setting)
     server.add_sockets(sockets)
     try:
         yield sockets[0].getsockname()[1]
--- /dev/null
+++ b/src/peridotpost/calls/peer_server.py
@@ -0,0 +1,111 @@
+"""Streams of calls between daemons: the called side."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+from typing import Protocol
+
+from tornado import iostream
+from tornado import tcpserver
+
+from peridotpost.calls import frames
+from peridotpost.calls import guard as guards
+from peridotpost.calls import sockets as ports
+from peridotpost.kernel import counters
+from peridotpost.model import calls
+from peridotpost.model import errors
+
+
+class KeyOwner(Protocol):
+    """Serves what other daemons ask about keys."""
+
+    async def serve(self, frame: frames.OwnerFrame) -> calls.Outcome: ...
+
+
+class PeerServer(tcpserver.TCPServer):
+    """The called side: runs what other daemons send to the guard."""
+
+    def __init__(self, guard: guards.Guard, counts: counters.Counters) -> None:
+        super().__init__()
+        self.guard = guard
+        self.counts = counts
+        self.open_streams: set[iostream.IOStream] = set()
+        self.owner: KeyOwner | None = None
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        running: dict[int, asyncio.Task[None]] = {}
+        stream.set_nodelay(True)
+        self.open_streams.add(stream)
+        try:
+            async for frame in frames.arriving(stream, str(address)):
+                self._act(frame, stream, running)
+        except iostream.StreamClosedError:
+            pass
+        except errors.CodecError:
+            self.counts.add('peer.unreadable')
+            stream.close()
+        finally:
+            self.open_streams.discard(stream)
+            for task in running.values():
+                task.cancel()
+
+    def _act(
+        self,
+        frame: frames.Frame,
+        stream: iostream.IOStream,
+        running: dict[int, asyncio.Task[None]],
+    ) -> None:
+        if isinstance(frame, frames.CallFrame | frames.OwnerFrame):
+            task = asyncio.ensure_future(self._run(frame, stream))
+            running[frame.number] = task
+            task.add_done_callback(lambda _: running.pop(frame.number, None))
+        elif isinstance(frame, frames.CancelFrame):
+            found = running.get(frame.number)
+            if found is not None:
+                found.cancel()
+        elif isinstance(frame, frames.CrashFrame):
+            self.guard.heard_of_crash(
+                frame.names, frame.target, frame.incident
+            )
+            stream.write(frames.encode(frames.HeardFrame(frame.number)))
+        else:
+            raise errors.CodecError(
+                'a frame that only a guard sends', step='frame.act'
+            )
+
+    async def _run(
+        self,
+        frame: frames.CallFrame | frames.OwnerFrame,
+        stream: iostream.IOStream,
+    ) -> None:
+        load = 0.0
+        if isinstance(frame, frames.CallFrame):
+            outcome = await self.guard.run(frame.call, frame.target)
+            load = self.guard.load_of(frame.call.service, frame.target)
+        elif self.owner is not None:
+            outcome = await self.owner.serve(frame)
+        else:
+            outcome = calls.OutcomeUnknown('no key is owned here')
+        reply = frames.encode(frames.to_frame(frame.number, outcome, load))
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.write(reply)
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    server: PeerServer, address: str, port: int
+) -> AsyncIterator[int]:
+    """Serve other daemons and yield the port in use.
+
+    :raises errors.PeridotError: the port is taken.
+    """
+    sockets = ports.bind(address, port, 'call_port')
+    server.add_sockets(sockets)
+    try:
+        yield sockets[0].getsockname()[1]
+    finally:
+        server.stop()
+        for stream in tuple(server.open_streams):
+            stream.close()
--- a/src/peridotpost/daemon/calls.py
+++ b/src/peridotpost/daemon/calls.py
@@ -11,6 +11,7 @@
 from peridotpost.calls import guard as guards
 from peridotpost.calls import ingress as ingresses
 from peridotpost.calls import owner as owners
+from peridotpost.calls import peer_server
 from peridotpost.calls import peers
 from peridotpost.calls import router as routers
 from peridotpost.calls import views
@@ -118,12 +119,12 @@
     streams: peers.PeerStreams,
 ) -> int:
     given = kernel.find('settings', settings_border.DaemonSettings)
-    server = peers.PeerServer(
+    server = peer_server.PeerServer(
         router.guard, kernel.find('counters', counters.Counters)
     )
     router.keyed = server.owner = _add_owner(kernel, router, streams)
     return await stack.enter_async_context(
-        peers.serving(server, given.address, given.listen.call_port)
+        peer_server.serving(server, given.address, given.listen.call_port)
     )
 
 
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -23,6 +23,7 @@
 from peridotpost.model import instances
 from peridotpost.model import mesh
 from peridotpost.proxy import deadlines
+from peridotpost.proxy import exchange as exchanges
 from peridotpost.proxy import forwarder as forwarders
 from peridotpost.proxy import frames
 from peridotpost.proxy import guard as guards
@@ -190,7 +191,7 @@
         yield gauge('store_reachable', '1 if the store answers', reachable)
 
     def _observe(
-        self, exchange: forwarders.Exchange, status: int, elapsed_s: float
+        self, exchange: exchanges.Exchange, status: int, elapsed_s: float
     ) -> None:
         self.metrics.observe(exchange.service, status, elapsed_s)
 
--- /dev/null
+++ b/src/peridotpost/proxy/exchange.py
@@ -0,0 +1,87 @@
+"""What an ingress knows of one request until it is answered."""
+
+from typing import Protocol
+
+from peridotpost.decisions import attempts
+from peridotpost.decisions import selection
+from peridotpost.model import forwarding
+from peridotpost.model import mesh
+from peridotpost.proxy import deadlines
+from peridotpost.proxy import http1
+from peridotpost.proxy import listener
+
+NO_TARGET_RETURN_S = 0.25
+"""When to come back where no guard said: targets announce themselves, and
+streams are dialled again, within about that time."""
+
+
+class Owner(Protocol):
+    """Works on exchanges."""
+
+    def abandoned(self, exchange: 'Exchange') -> None:
+        """The caller has gone; nothing more is done for it."""
+
+
+class Exchange:
+    """One request of a caller until it is answered.
+
+    :param tried: hosts whose guards were asked.
+    :param order: the dispatch under way; None between two.
+    :param slot: of its deadline in the sweep.
+    :param over: whether it was answered, or its caller has gone.
+    :param last_asked: whether a guard was told that nobody else is asked.
+    :param retry_after_s: when to come back, as the last guard said.
+    """
+
+    __slots__ = (
+        'owner',
+        'message',
+        'route',
+        'service',
+        'respond',
+        'started',
+        'deadline',
+        'objective',
+        'rank',
+        'head',
+        'tried',
+        'attempts',
+        'order',
+        'candidate',
+        'slot',
+        'over',
+        'last_asked',
+        'retry_after_s',
+    )
+
+    def __init__(
+        self,
+        owner: Owner,
+        message: http1.Message,
+        route: mesh.PathRoute,
+        service: str,
+        respond: listener.Respond,
+    ) -> None:
+        self.owner = owner
+        self.message = message
+        self.route = route
+        self.service = service
+        self.respond = respond
+        self.started = deadlines.now()
+        self.deadline = self.started + route.timeout_s
+        self.objective = self.started + route.objective_s
+        self.attempts = attempts.Attempts(
+            route.idempotent, route.max_attempts, self.deadline
+        )
+        self.rank = route.rank
+        self.head = b''
+        self.tried: set[str] = set()
+        self.order: forwarding.Order | None = None
+        self.candidate: selection.Candidate | None = None
+        self.slot = 0
+        self.over = False
+        self.last_asked = False
+        self.retry_after_s = NO_TARGET_RETURN_S
+
+    def abandoned(self) -> None:
+        self.owner.abandoned(self)
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -2,12 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import random
 from typing import Protocol
 
-import msgspec
-
 from peridotpost.decisions import attempts
 from peridotpost.decisions import budget as budget_rules
 from peridotpost.decisions import poison
@@ -18,14 +15,15 @@
 from peridotpost.model import forwarding
 from peridotpost.model import mesh
 from peridotpost.proxy import deadlines
+from peridotpost.proxy import exchange as exchanges
 from peridotpost.proxy import http1
 from peridotpost.proxy import listener
 from peridotpost.proxy import names
+from peridotpost.proxy import problems
 
 RANK_OF_CALLS = -1
 """Calls of targets go before requests of callers of any rank."""
 NO_CONFIG_RETURN_S = 0.5
-NO_TARGET_RETURN_S = 0.25
 POISON_RETURN_S = 30.0
 
 
@@ -45,72 +43,6 @@
         """Return how many daemons are live, this one included."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """An answer of our own, as the caller is told."""
-
-    status: int
-    title: str
-    retry_after_s: float = 0.0
-
-
-class Exchange:
-    """One request of a caller until it is answered."""
-
-    __slots__ = (
-        'forwarder',
-        'message',
-        'route',
-        'service',
-        'respond',
-        'started',
-        'deadline',
-        'objective',
-        'rank',
-        'head',
-        'tried',
-        'attempts',
-        'order',
-        'candidate',
-        'slot',
-        'over',
-        'last_asked',
-        'retry_after_s',
-    )
-
-    def __init__(
-        self,
-        forwarder: 'Forwarder',
-        message: http1.Message,
-        route: mesh.PathRoute,
-        service: str,
-        respond: listener.Respond,
-    ) -> None:
-        self.forwarder = forwarder
-        self.message = message
-        self.route = route
-        self.service = service
-        self.respond = respond
-        self.started = deadlines.now()
-        self.deadline = self.started + route.timeout_s
-        self.objective = self.started + route.objective_s
-        self.attempts = attempts.Attempts(
-            route.idempotent, route.max_attempts, self.deadline
-        )
-        self.rank = route.rank
-        self.head = b''
-        self.tried: set[str] = set()
-        self.order: forwarding.Order | None = None
-        self.candidate: selection.Candidate | None = None
-        self.slot = 0
-        self.over = False
-        self.last_asked = False
-        self.retry_after_s = NO_TARGET_RETURN_S
-
-    def abandoned(self) -> None:
-        self.forwarder.abandoned(self)
-
-
 class Forwarder:
     """Routes, dispatches, tries again, answers."""
 
@@ -141,11 +73,13 @@
             header_names.caller + b': ' + caller_service.encode() + b'\r\n'
         )
         self.in_flight = 0
-        self.observe: Callable[[Exchange, int, float], None] | None = None
+        self.observe: (
+            Callable[[exchanges.Exchange, int, float], None] | None
+        ) = None
 
     def handle(
         self, message: http1.Message, inner: bool, respond: listener.Respond
-    ) -> Exchange | None:
+    ) -> exchanges.Exchange | None:
         """Take a request; `respond` is called exactly once for it."""
         config = self.config
         if config is None:
@@ -165,7 +99,7 @@
             self._refuse_early(message, respond, 404, 'no-route')
             return None
         service = self.splitter.pick(route.name, route.shares)
-        exchange = Exchange(self, message, route, service, respond)
+        exchange = exchanges.Exchange(self, message, route, service, respond)
         self._set_times(exchange, inner)
         exchange.head = bytes(message.head) + self.caller_head
         self.in_flight += 1
@@ -179,7 +113,7 @@
         self._dispatch(exchange)
         return None if exchange.over else exchange
 
-    def abandoned(self, exchange: Exchange) -> None:
+    def abandoned(self, exchange: exchanges.Exchange) -> None:
         """The caller has gone; nothing more is done for it."""
         if exchange.over:
             return
@@ -193,7 +127,7 @@
         """Note requests that were running when a target crashed."""
         self.poison.crashed(fingerprints, target, incident, deadlines.now())
 
-    def _set_times(self, exchange: Exchange, inner: bool) -> None:
+    def _set_times(self, exchange: exchanges.Exchange, inner: bool) -> None:
         told = exchange.message.deadline_ms
         if told.isdigit():
             # The operators' timeout bounds what callers ask for.
@@ -205,18 +139,18 @@
         if inner:
             exchange.rank = RANK_OF_CALLS
 
-    def _is_poison(self, exchange: Exchange) -> bool:
+    def _is_poison(self, exchange: exchanges.Exchange) -> bool:
         if not self.poison.suspects:
             return False
         name = self._fingerprint(exchange)
         now = deadlines.now()
         return self.poison.names_refused_for_s((name,), now) > 0
 
-    def _fingerprint(self, exchange: Exchange) -> str:
+    def _fingerprint(self, exchange: exchanges.Exchange) -> str:
         message = exchange.message
         return poison.fingerprint(message.method, message.target, message.body)
 
-    def _dispatch(self, exchange: Exchange) -> None:
+    def _dispatch(self, exchange: exchanges.Exchange) -> None:
         """Send to the best target that was not tried; refuse without."""
         now = deadlines.now()
         if now >= exchange.deadline:
@@ -240,7 +174,7 @@
             candidate.outstanding -= 1
 
     def _choose(
-        self, exchange: Exchange, now: float
+        self, exchange: exchanges.Exchange, now: float
     ) -> selection.Candidate | None:
         route = exchange.route.name
         candidates = list(self.backends.candidates(exchange.service))
@@ -258,7 +192,7 @@
         return found
 
     def _order(
-        self, exchange: Exchange, candidate: selection.Candidate
+        self, exchange: exchanges.Exchange, candidate: selection.Candidate
     ) -> forwarding.Order:
         message = exchange.message
         order = forwarding.Order(
@@ -283,7 +217,7 @@
 
     def _ended(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         candidate: selection.Candidate,
         order: forwarding.Order,
         outcome: forwarding.Outcome,
@@ -308,7 +242,7 @@
 
     def _note(
         self,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
         candidate: selection.Candidate,
         outcome: forwarding.Outcome,
         now: float,
@@ -328,7 +262,7 @@
         if arrived and not exchange.attempts.arrivals:
             self.budget.request(exchange.service, now)
 
-    def _may_spend(self, exchange: Exchange, now: float) -> bool:
+    def _may_spend(self, exchange: exchanges.Exchange, now: float) -> bool:
         members = self.backends.members()
         if self.budget.spend(exchange.service, members, now):
             self.counts.add('requests.repeated')
@@ -337,7 +271,7 @@
         return False
 
     def _answer(
-        self, exchange: Exchange, outcome: forwarding.TargetAnswer
+        self, exchange: exchanges.Exchange, outcome: forwarding.TargetAnswer
     ) -> None:
         self._end(exchange)
         if self.poison.suspects and outcome.status < attempts.FAILED_STATUS:
@@ -352,23 +286,30 @@
             )
         )
 
-    def _give_up(self, exchange: Exchange, reason: forwarding.Refusal) -> None:
+    def _give_up(
+        self, exchange: exchanges.Exchange, reason: forwarding.Refusal
+    ) -> None:
         """Answer for a request that no target will answer."""
         if exchange.attempts.lost:
             self._end(exchange)
             self._log(exchange, 'unknown', '', exchange.attempts.lost)
-            self._own_answer(exchange, Problem(502, 'outcome-unknown'))
+            self._own_answer(
+                exchange, problems.Problem(502, 'outcome-unknown')
+            )
         else:
             self._refuse(exchange, reason)
 
-    def _refuse(self, exchange: Exchange, reason: forwarding.Refusal) -> None:
+    def _refuse(
+        self, exchange: exchanges.Exchange, reason: forwarding.Refusal
+    ) -> None:
         self._end(exchange)
         self._log(exchange, 'refused', '', reason.value)
         self._own_answer(
-            exchange, Problem(503, reason.value, exchange.retry_after_s)
+            exchange,
+            problems.Problem(503, reason.value, exchange.retry_after_s),
         )
 
-    def _expired(self, exchange: Exchange) -> None:
+    def _expired(self, exchange: exchanges.Exchange) -> None:
         if exchange.over:
             return
         dispatched = exchange.order is not None
@@ -377,15 +318,18 @@
         detail = exchange.attempts.lost or 'no answer in time'
         self._log(exchange, 'timeout', self._host(exchange), detail)
         if dispatched or exchange.attempts.lost:
-            self._own_answer(exchange, Problem(504, 'timeout'))
+            self._own_answer(exchange, problems.Problem(504, 'timeout'))
         else:
             self._own_answer(
-                exchange, Problem(503, 'too-late', exchange.retry_after_s)
+                exchange,
+                problems.Problem(503, 'too-late', exchange.retry_after_s),
             )
 
-    def _own_answer(self, exchange: Exchange, problem: Problem) -> None:
+    def _own_answer(
+        self, exchange: exchanges.Exchange, problem: problems.Problem
+    ) -> None:
         self._observe(exchange, problem.status)
-        exchange.respond(render_problem(problem))
+        exchange.respond(problems.render(problem))
 
     def _refuse_early(
         self,
@@ -404,28 +348,34 @@
             target=message.target[:80].decode('latin-1'),
             version=self.config.version if self.config else 0,
         )
-        respond(render_problem(Problem(status, title, retry_after_s)))
+        respond(
+            problems.render(problems.Problem(status, title, retry_after_s))
+        )
 
-    def _withdraw(self, exchange: Exchange) -> None:
+    def _withdraw(self, exchange: exchanges.Exchange) -> None:
         order = exchange.order
         if order is not None and exchange.candidate is not None:
             self.backends.withdraw(exchange.candidate.host, order)
 
-    def _end(self, exchange: Exchange) -> None:
+    def _end(self, exchange: exchanges.Exchange) -> None:
         exchange.over = True
         self.in_flight -= 1
         self.sweep.discard(exchange.slot, exchange)
 
-    def _observe(self, exchange: Exchange, status: int) -> None:
+    def _observe(self, exchange: exchanges.Exchange, status: int) -> None:
         if self.observe is not None:
             elapsed = deadlines.now() - exchange.started
             self.observe(exchange, status, elapsed)
 
-    def _host(self, exchange: Exchange) -> str:
+    def _host(self, exchange: exchanges.Exchange) -> str:
         return exchange.candidate.host if exchange.candidate else ''
 
     def _log(
-        self, exchange: Exchange, decision: str, target: str, detail: str
+        self,
+        exchange: exchanges.Exchange,
+        decision: str,
+        target: str,
+        detail: str,
     ) -> None:
         now = deadlines.now()
         self.log.request(
@@ -441,14 +391,3 @@
             left_ms=round((exchange.deadline - now) * 1000),
             version=self.config.version if self.config else 0,
         )
-
-
-def render_problem(problem: Problem) -> listener.Reply:
-    """Return an answer of our own (RFC 9457 problem details)."""
-    head = b'Content-Type: application/problem+json\r\n'
-    if problem.retry_after_s:
-        head += b'Retry-After: %.3f\r\n' % problem.retry_after_s
-    body = msgspec.json.encode(
-        {'title': problem.title, 'status': problem.status}
-    )
-    return listener.Reply(problem.status, head, body)
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -66,7 +66,7 @@
         self.log = log
         self.instances = incarnations.InstanceLog()
         self.queue = slot_rules.SlotQueue(0, randomness)
-        self.idle: list[upstream.TargetConnection] = []
+        self.idle = upstream.IdlePool()
         self.running: dict[forwarding.Order, upstream.TargetConnection] = {}
         self.opening: dict[forwarding.Order, asyncio.Task[None]] = {}
         self.expiries: dict[forwarding.Order, int] = {}
@@ -108,7 +108,7 @@
             told.born_ms,
         )
         if fresh:
-            self._close_idle()
+            self.idle.close()
             self.down = False
             self.cold_until = deadlines.now() + told.cold_s
             self.expects_header = (
@@ -187,7 +187,7 @@
             task.cancel()
         for connection in list(self.running.values()):
             connection.close()
-        self._close_idle()
+        self.idle.close()
 
     def _takes_work(self) -> bool:
         known = self.instances.current
@@ -204,7 +204,7 @@
             for order in self.queue.drain():
                 self._forget(order)
                 order.settle(forwarding.Refused(forwarding.Refusal.LEAVING))
-            self._close_idle()
+            self.idle.close()
         self.changed.fire(self.status())
 
     def _apply(self, verdict: slot_rules.Verdict) -> None:
@@ -220,12 +220,10 @@
 
     def _start(self, order: forwarding.Order) -> None:
         now = deadlines.now()
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.usable(now):
-                self._send(order, connection)
-                return
-            connection.close()
+        connection = self.idle.take(now)
+        if connection is not None:
+            self._send(order, connection)
+            return
         self.opening[order] = asyncio.ensure_future(self._open(order))
 
     async def _open(self, order: forwarding.Order) -> None:
@@ -257,7 +255,7 @@
         left_ms = int((order.deadline - deadlines.now()) * 1000)
         if left_ms <= 0:
             # The process stood still between the decision and here.
-            self.idle.append(connection)
+            self.idle.add(connection)
             self._forget(order)
             self._apply(self.queue.release(deadlines.now()))
             order.settle(forwarding.Refused(forwarding.Refusal.TOO_LATE))
@@ -287,7 +285,7 @@
         connection = self.running.pop(order, None)
         self._forget(order)
         if connection is not None and connection.usable(now):
-            self.idle.append(connection)
+            self.idle.add(connection)
         if isinstance(outcome, forwarding.TargetAnswer):
             verdict = self.queue.finish(order, now)
         else:
@@ -301,8 +299,8 @@
     def _connection_left(
         self, connection: upstream.TargetConnection, in_use: bool
     ) -> None:
-        if connection.closed and connection in self.idle:
-            self.idle.remove(connection)
+        if connection.closed:
+            self.idle.discard(connection)
 
     def _unreachable(self, order: forwarding.Order, error: OSError) -> None:
         if self.opening.pop(order, None) is None:
@@ -363,7 +361,7 @@
                 self._check_later()
             return
         connection.idle_since = deadlines.now()
-        self.idle.append(connection)
+        self.idle.add(connection)
         if was_down and self.down:
             self.down = False
             self.log.state('target', to='reachable', instance=known.instance)
@@ -400,8 +398,3 @@
         slot = self.expiries.pop(order, None)
         if slot is not None:
             self.sweep.discard(slot, order)
-
-    def _close_idle(self) -> None:
-        for connection in list(self.idle):
-            connection.close()
-        self.idle.clear()
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -158,6 +158,37 @@
         order.settle(outcome)
 
 
+class IdlePool:
+    """Connections that wait for a request; the last one used goes first.
+
+    The others are idle for longer, which is when targets close them.
+    """
+
+    def __init__(self) -> None:
+        self.connections: list[TargetConnection] = []
+
+    def take(self, now: float) -> TargetConnection | None:
+        """Return one that may still be used, None without one."""
+        while self.connections:
+            connection = self.connections.pop()
+            if connection.usable(now):
+                return connection
+            connection.close()
+        return None
+
+    def add(self, connection: TargetConnection) -> None:
+        self.connections.append(connection)
+
+    def discard(self, connection: TargetConnection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
+
+    def close(self) -> None:
+        for connection in list(self.connections):
+            connection.close()
+        self.connections.clear()
+
+
 def judge(message: http1.Message) -> forwarding.Outcome:
     """Tell what a whole answer means for its request."""
     status = message.status
--- a/testing/callpath.py
+++ b/testing/callpath.py
@@ -16,6 +16,7 @@
 from peridotpost.calls import connections
 from peridotpost.calls import guard as guards
 from peridotpost.calls import ingress as ingresses
+from peridotpost.calls import peer_server
 from peridotpost.calls import peers
 from peridotpost.calls import router as routers
 from peridotpost.decisions import idempotency
@@ -143,7 +144,9 @@
         )
         router.keyed = DirectKeys(router)
         call_port = await stack.enter_async_context(
-            peers.serving(peers.PeerServer(guard, counts), '127.0.0.1', 0)
+            peer_server.serving(
+                peer_server.PeerServer(guard, counts), '127.0.0.1', 0
+            )
         )
         both = [
             ingresses.Ingress(
--- a/testing/test_schedule_keeper.py
+++ b/testing/test_schedule_keeper.py
@@ -8,6 +8,7 @@
 import pytest
 
 from peridotpost.calls import frames
+from peridotpost.calls import peer_server
 from peridotpost.calls import peers
 from peridotpost.calls import views
 from peridotpost.decisions import idempotency
@@ -153,9 +154,12 @@
         held = kept.keepers['a']
         await held.tick()
         kept.fail(outage=True)
-        server = peers.PeerServer(None, kept.counts)  # type: ignore[arg-type]
+        server = peer_server.PeerServer(
+            None,  # type: ignore[arg-type]
+            kept.counts,
+        )
         server.owner = Answering(held)
-        async with peers.serving(server, '127.0.0.1', 0) as port:
+        async with peer_server.serving(server, '127.0.0.1', 0) as port:
             fresh = kept.keeper('b', port)
             await fresh.tick()
             await fresh.streams.close()
