A write gets a fresh connection where the idle ones are old

A read that is reset goes to another target, a write is lost. The test fails without the change (502).

--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -220,7 +220,7 @@
 
     def _start(self, order: forwarding.Order) -> None:
         now = deadlines.now()
-        connection = self.idle.take(now)
+        connection = self.idle.take(now, not order.idempotent)
         if connection is not None:
             self._send(order, connection)
             return
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -20,6 +20,11 @@
 a request sent as the target closes is lost."""
 DEFAULT_IDLE_S = 4.0
 """Idle time where the target states none."""
+ONCE_IDLE_S = 0.5
+"""Idle time after which a request that may run once only gets a connection
+of its own.  A target may drop an idle connection without a word and sooner
+than it said; what is sent next is reset, and such a request can't be sent
+again.  Opening one costs a millisecond."""
 IDLE_SHARE = 0.7
 """Part of the stated idle timeout that is used at the most."""
 NO_BODY = frozenset({204, 304})
@@ -62,13 +67,17 @@
         self.outcome = None
         self.transport.write(payload)
 
-    def usable(self, now: float) -> bool:
-        """Whether a request may go onto this idle connection."""
+    def usable(self, now: float, once: bool = False) -> bool:
+        """Whether a request may go onto this idle connection.
+
+        :param once: the request may run once only.
+        """
         if self.closed or not self.reusable or self.transport is None:
             return False
         if self.transport.is_closing():
             return False
-        return now - self.idle_since < self.idle_s
+        idle_s = min(self.idle_s, ONCE_IDLE_S) if once else self.idle_s
+        return now - self.idle_since < idle_s
 
     def data_received(self, data: bytes) -> None:
         if self.order is None:
@@ -167,12 +176,19 @@
     def __init__(self) -> None:
         self.connections: list[TargetConnection] = []
 
-    def take(self, now: float) -> TargetConnection | None:
-        """Return one that may still be used, None without one."""
+    def take(self, now: float, once: bool) -> TargetConnection | None:
+        """Return one that may still be used, None without one.
+
+        :param once: for a request that may run once only.
+        """
         while self.connections:
             connection = self.connections.pop()
-            if connection.usable(now):
+            if connection.usable(now, once):
                 return connection
+            if connection.usable(now):
+                # Still good for others; those below are idle for longer.
+                self.connections.append(connection)
+                return None
             connection.close()
         return None
 
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -44,10 +44,15 @@
         self.address = ''
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.forgotten: set[asyncio.StreamWriter] = set()
 
     def attempts(self) -> list[str]:
         return [one.attempt for one in self.runs]
 
+    def forget_idle(self) -> None:
+        """Reset, on the next byte, every connection that is idle now."""
+        self.forgotten |= self.writers
+
     async def crash(self) -> None:
         """End at once: listening socket and connections are gone."""
         if self.server is not None:
@@ -74,6 +79,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         run = await _read(reader)
+        if writer in self.forgotten:
+            writer.transport.abort()
+            return False
         expected = run.headers.get('x-expected-instance', self.instance)
         if expected != self.instance:
             self.rejected.append(run)
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -80,6 +80,23 @@
         assert len(second.worker.runs) == 4
 
 
+async def test_a_write_does_not_go_onto_a_connection_long_idle(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A target drops its idle connections without a word; what is sent
+    next on one is reset.  A read is sent again, a write would be lost."""
+    monkeypatch.setattr('peridotpost.proxy.upstream.ONCE_IDLE_S', 0.0)
+    async with proxies.pair() as (_, first, second):
+        for host in (first, second):
+            await host.ask('/read/ok', attempt=f'r{host.name}')
+            host.worker.forget_idle()
+        for number in range(4):
+            answer = await first.ask(
+                '/write/ok', method='POST', attempt=f'w{number}'
+            )
+            assert answer.status == 200
+
+
 async def test_no_more_requests_at_once_than_the_target_has_slots() -> None:
     """A target that has no slot free never answers on that connection
     again; so it must never get a request that it has no slot for."""
