--- /dev/null
+++ b/testing/test_lines.py
@@ -0,0 +1,97 @@
+"""Log lines are whole, bounded, counted, and never waited for."""
+
+import json
+import os
+
+import pytest
+
+from peridotpost.kernel import lines
+
+
+class Clock:
+    """A wall clock that stands until it is moved."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def pipe() -> tuple[int, int]:
+    """A pipe that a log writes to, as (reading, writing)."""
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    return reading, writing
+
+
+def read_lines(reading: int) -> list[dict[str, object]]:
+    raw = os.read(reading, 1 << 20)
+    return [json.loads(line) for line in raw.splitlines() if line]
+
+
+def test_a_line_says_when_where_and_what(pipe: tuple[int, int]) -> None:
+    log = lines.LineLog('host-1', pipe[1], Clock())
+    log.state('config', before=1, version=2, source='store')
+    assert read_lines(pipe[0]) == [
+        {
+            'at': 1000.0,
+            'host': 'host-1',
+            'event': 'config',
+            'before': 1,
+            'version': 2,
+            'source': 'store',
+        }
+    ]
+
+
+def test_a_surge_of_refusals_is_bounded_and_counted(
+    pipe: tuple[int, int],
+) -> None:
+    clock = Clock()
+    log = lines.LineLog('h', pipe[1], clock)
+    for number in range(5000):
+        log.request('refused', request=str(number))
+    assert len(read_lines(pipe[0])) == lines.BURST_LINES
+    clock.now += 1.0
+    log.request('refused', request='later')
+    (line,) = read_lines(pipe[0])
+    assert line['left_out'] == 5000 - lines.BURST_LINES
+    log.request('refused', request='next')
+    (line,) = read_lines(pipe[0])
+    assert 'left_out' not in line
+
+
+def test_changes_of_state_are_never_left_out(pipe: tuple[int, int]) -> None:
+    log = lines.LineLog('h', pipe[1], Clock())
+    for number in range(300):
+        log.request('refused', request=str(number))
+        log.state('member', peer=str(number), to='known')
+    events = [line['event'] for line in read_lines(pipe[0])]
+    assert events.count('member') == 300
+
+
+def test_a_full_pipe_is_not_waited_for(pipe: tuple[int, int]) -> None:
+    """Nobody reads the log; a write that waited would stop the process.
+
+    What did not fit is counted, and the lines after it are whole again.
+    """
+    log = lines.LineLog('h', pipe[1], Clock())
+    for _ in range(3000):
+        log.state('config', detail='x' * 100)
+    assert log.dropped
+    dropped = log.dropped
+    while True:
+        try:
+            os.read(pipe[0], 1 << 20)
+        except BlockingIOError:
+            break
+    log.state('config', detail='after')
+    found = [
+        json.loads(line)
+        for line in os.read(pipe[0], 1 << 20).splitlines()
+        if line
+    ]
+    assert found[-1]['detail'] == 'after'
+    assert found[-1]['dropped'] == dropped
--- /dev/null
+++ b/testing/test_proxy_settings.py
@@ -0,0 +1,84 @@
+"""Settings are checked whole before anything is opened."""
+
+import json
+import pathlib
+from typing import Any
+
+from click import testing
+import pytest
+
+from peridotpost.border import proxy as border
+from peridotpost.cli import proxy
+
+GOOD: dict[str, Any] = {
+    'host': 'a-1',
+    'availability_zone': 'a',
+    'address': '127.0.0.1',
+    'service': 'register',
+    'target': '127.0.0.1:9000',
+    'listen': {
+        'requests': '127.0.0.1:1',
+        'readiness': '127.0.0.1:2',
+        'announcements': '127.0.0.1:3',
+        'peers': '127.0.0.1:4',
+    },
+    'store': '127.0.0.1:5',
+}
+
+
+def written(tmp_path: pathlib.Path, raw: str) -> pathlib.Path:
+    path = tmp_path / 'proxy.json'
+    path.write_text(raw)
+    return path
+
+
+def test_good_settings_are_read(tmp_path: pathlib.Path) -> None:
+    raw = json.dumps(GOOD | {'from_a_newer_platform': 1})
+    found = border.load(written(tmp_path, raw))
+    assert found.retries.ratio == 0.2
+    assert border.split_address(found.store) == ('127.0.0.1', 5)
+
+
+@pytest.mark.parametrize(
+    ('change', 'named'),
+    [
+        pytest.param({'host': ''}, 'host', id='empty name'),
+        pytest.param({'service': 7}, 'service', id='wrong type'),
+        pytest.param({'store': 'nowhere'}, 'store', id='no port'),
+        pytest.param({'link_mbps': 0}, 'link_mbps', id='no link'),
+        pytest.param({'retries': {'ratio': -1}}, 'ratio', id='negative share'),
+        pytest.param(
+            {'listen': GOOD['listen'] | {'peers': ':x'}},
+            'listen.peers',
+            id='no address',
+        ),
+        pytest.param({'listen': {}}, 'listen', id='field missing'),
+    ],
+)
+def test_bad_field_is_named(
+    change: dict[str, Any], named: str, tmp_path: pathlib.Path
+) -> None:
+    path = written(tmp_path, json.dumps(GOOD | change))
+    with pytest.raises(border.BadSettings) as caught:
+        border.load(path)
+    assert named in str(caught.value)
+    assert str(path) in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'code'),
+    [
+        pytest.param(json.dumps(GOOD), 0, id='good'),
+        pytest.param('{"host": ', 2, id='cut off'),
+        pytest.param('', 2, id='empty'),
+    ],
+)
+def test_check_tells_by_its_exit_code(
+    raw: str, code: int, tmp_path: pathlib.Path
+) -> None:
+    path = written(tmp_path, raw)
+    run = testing.CliRunner().invoke(
+        proxy.main, ['--settings', str(path), '--check']
+    )
+    assert run.exit_code == code
+    assert str(path) in run.output
