--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -96,7 +96,6 @@
             self.sweep,
             self.counts,
             self.log,
-            self.randomness,
         )
         self.requests = listener.Port(
             headers,
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -184,13 +184,6 @@
                 # Another daemon has the address now.
                 stream.close()
                 return
-        record = instances.HostRecord(
-            told.host,
-            told.availability_zone,
-            told.address,
-            told.port,
-            told.incarnation,
-        )
         if not stream.dialled:
             for older in [
                 one for one in self.accepted if one.host == told.host
@@ -198,7 +191,7 @@
                 older.close()
             self.accepted.add(stream)
             stream.send(self._status())
-            self.learn(record)
+            self.learn(_record(told))
         self.met_hook.fire(stream)
 
     def notice(self, stream: peers.PeerStream, frame: frames.Frame) -> None:
@@ -332,15 +325,7 @@
             stream.send(frames.Known([self.hello(False), *self.hosts()]))
             return
         for one in told.hosts:
-            self.learn(
-                instances.HostRecord(
-                    one.host,
-                    one.availability_zone,
-                    one.address,
-                    one.port,
-                    one.incarnation,
-                )
-            )
+            self.learn(_record(one))
 
 
 def _hello(record: instances.HostRecord, version: int) -> frames.Hello:
@@ -352,3 +337,13 @@
         record.incarnation,
         version,
     )
+
+
+def _record(told: frames.Hello) -> instances.HostRecord:
+    return instances.HostRecord(
+        told.host,
+        told.availability_zone,
+        told.address,
+        told.port,
+        told.incarnation,
+    )
--- a/src/peridotpost/platform/store.py
+++ b/src/peridotpost/platform/store.py
@@ -60,16 +60,6 @@
     ttl_ms: int = 0
 
 
-class _Record(msgspec.Struct):
-    """This project's own record of a host; see ``HostRecord``."""
-
-    host: str
-    availability_zone: str
-    address: str
-    port: int
-    incarnation: int
-
-
 class KvStore:
     """Implements ``storefeed.Feed``."""
 
@@ -134,15 +124,7 @@
             query['after'] = page.items[-1].key
 
     async def register(self, record: instances.HostRecord, lease: int) -> None:
-        value = msgspec.json.encode(
-            _Record(
-                record.host,
-                record.availability_zone,
-                record.address,
-                record.port,
-                record.incarnation,
-            )
-        )
+        value = msgspec.json.encode(record)
         write = {
             'key': RECORDS + record.host,
             'value': base64.b64encode(value).decode(),
@@ -225,17 +207,10 @@
 
 def _record_of(item: _Item) -> instances.HostRecord | None:
     try:
-        told = msgspec.json.decode(_value_of(item), type=_Record)
+        return msgspec.json.decode(_value_of(item), type=instances.HostRecord)
     except msgspec.MsgspecError:
         # Another writer's; it names no host to use.
         return None
-    return instances.HostRecord(
-        told.host,
-        told.availability_zone,
-        told.address,
-        told.port,
-        told.incarnation,
-    )
 
 
 def _decode(raw: bytes, kind: type[ItemT]) -> ItemT:
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import random
 from typing import Protocol
 
 from peridotpost.decisions import attempts
@@ -56,7 +55,6 @@
         sweep: deadlines.Deadlines,
         counts: counters.Counters,
         log: lines.LineLog,
-        randomness: random.Random,
     ) -> None:
         self.names = header_names
         self.backends = backends
@@ -65,7 +63,6 @@
         self.sweep = sweep
         self.counts = counts
         self.log = log
-        self.randomness = randomness
         self.splitter = split.Splitter()
         self.poison = poison.PoisonList()
         self.config: mesh.MeshConfig | None = None
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -79,7 +79,7 @@
         self.leaving = False
         self.changed: hooks.Hook[instances.TargetStatus] = hooks.Hook('target')
         self.crashed: hooks.Hook[tuple[str, ...]] = hooks.Hook('crash')
-        self.expects_header = b''
+        self.instance_header = b''
 
     @property
     def in_flight(self) -> int:
@@ -111,7 +111,7 @@
             self.idle.close()
             self.down = False
             self.cold_until = deadlines.now() + told.cold_s
-            self.expects_header = (
+            self.instance_header = (
                 self.names.instance + b': ' + told.instance.encode() + b'\r\n'
             )
         self.queue.slots = told.slots
@@ -263,7 +263,7 @@
         self.running[order] = connection
         head = b'%s%s%s: %d\r\n' % (
             order.head,
-            self.expects_header,
+            self.instance_header,
             self.names.deadline,
             left_ms,
         )
