--- a/src/peridotpost/proxy/http1.py
+++ b/src/peridotpost/proxy/http1.py
@@ -75,7 +75,8 @@
 class MessageReader:
     """Callbacks of the parser; builds one `Message` after the other.
 
-    :param limit: largest body, bytes.
+    Bodies over ``max_body`` bytes and headers over ``max_head`` raise
+    `TooLarge` out of the parser.
     """
 
     def __init__(
