--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -6,7 +6,7 @@
 import contextlib
 import dataclasses
 import json
-import socket
+import os
 from typing import Any
 
 import msgspec
@@ -22,6 +22,13 @@
 CALLER = '127.0.0.9'
 """Address that callers connect from; a target connects from its host's."""
 PATIENCE_S = 20.0
+NETWORK = f'127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}'
+"""Loopback addresses of this process; two runs at a time do not meet."""
+FIRST_PORT = 20_001
+PORTS = 5
+"""Of each proxy, below the ports that the system hands out: one that was
+free a moment ago may have been given to a connection, or twice, before it
+is opened."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -146,6 +153,7 @@
         self.store = store
         self.hosts: dict[str, Host] = {}
         self.stack = contextlib.AsyncExitStack()
+        self.started = 0
 
     async def add(
         self,
@@ -156,7 +164,7 @@
         link_mbps: float = 1000.0,
     ) -> Host:
         """Start a proxy and its target, not announced yet."""
-        address = f'127.0.0.{20 + len(self.hosts)}'
+        address = f'{NETWORK}.{1 + len(self.hosts)}'
         worker = worker_standin.Worker(f'i-{name}', slots)
         await self.stack.enter_async_context(
             worker_standin.serving(worker, address)
@@ -176,7 +184,11 @@
         worker: worker_standin.Worker,
         link_mbps: float = 1000.0,
     ) -> Host:
-        settings = _settings(name, address, zone, service, worker, self.store)
+        first_port = FIRST_PORT + PORTS * self.started
+        self.started += 1
+        settings = _settings(
+            name, address, zone, service, worker, self.store, first_port
+        )
         settings = msgspec.structs.replace(settings, link_mbps=link_mbps)
         adapter = self.stack.enter_context(assembly.adapter_for(settings))
         log = lines.LineLog(name, descriptor=-1)
@@ -222,8 +234,9 @@
     service: str,
     worker: worker_standin.Worker,
     store: str,
+    first_port: int,
 ) -> border.ProxySettings:
-    ports = [_free_port(address) for _ in range(5)]
+    ports = range(first_port, first_port + PORTS)
     listen = border.Listen(*(f'{address}:{port}' for port in ports))
     return border.ProxySettings(
         host=name,
@@ -236,13 +249,6 @@
     )
 
 
-def _free_port(address: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def config(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return the operators' text: one idempotent route, one not."""
     return {
