Connections to a local target: no resolver thread, and the kernel's word before the timer's

Cause: the tornado client asks a resolver for 127.0.0.1 in a thread of the default executor; without a turn for 1 s the connection counted as refused, and the target was withdrawn (503 'refuses connections'). A process that stood still for 1 s while a connection opened saw the timer win as well. Two tests, each made to fail on the old code by its cause (busy threads; a stall), pass now. Ruled out: a full backlog (the test has one connection), the target's own answers (the answer names the connection).

--- a/src/peridotpost/calls/connections.py
+++ b/src/peridotpost/calls/connections.py
@@ -14,7 +14,6 @@
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
-from tornado import tcpclient
 
 from peridotpost.kernel import counters
 from peridotpost.model import calls
@@ -23,7 +22,10 @@
 """Seconds after which an idle connection is not used again: shorter than
 the idle timeouts that HTTP servers commonly have, so that a request is not
 written into a connection that the target is just closing."""
+LOOPBACK = '127.0.0.1'
 CONNECT_S = 1.0
+"""On loopback only a full backlog takes any time; the kernel tries again
+after a second."""
 MAX_DIGITS = 18
 HOP_HEADERS = frozenset(
     {
@@ -186,7 +188,6 @@
     def __init__(self, counts: counters.Counters) -> None:
         self.counts = counts
         self.idle: dict[int, collections.deque[Idle]] = {}
-        self.client = tcpclient.TCPClient()
 
     def close(self) -> None:
         for kept in self.idle.values():
@@ -280,12 +281,31 @@
         return None
 
     async def _connect(self, port: int) -> iostream.IOStream:
+        """Open a connection without a resolver and its threads.
+
+        An address needs none, and a busy process may not get a turn of
+        the thread for over a second.  The kernel accepts on loopback at
+        once, so a connection that is open counts also when this process
+        stood still past the limit; judged by the timer alone, a target
+        that listens would be withdrawn as gone.
+
+        :raises ConnectFailed: refused, or not open within ``CONNECT_S``.
+        """
+        plain = socket.socket()
+        plain.setblocking(False)
+        stream = iostream.IOStream(plain)
+        opening = asyncio.ensure_future(stream.connect((LOOPBACK, port)))
         try:
-            stream = await asyncio.wait_for(
-                self.client.connect('127.0.0.1', port), CONNECT_S
-            )
-        except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+            await asyncio.wait({opening}, timeout=CONNECT_S)
+            if not opening.done():
+                raise ConnectFailed(f'not open within {CONNECT_S} s')
+            opening.result()
+        except iostream.StreamClosedError as error:
             raise ConnectFailed(str(error)) from error
+        except BaseException:
+            opening.cancel()
+            stream.close()
+            raise
         stream.set_nodelay(True)
         self.counts.add('connection.opened')
         return stream
--- a/testing/test_target_contract.py
+++ b/testing/test_target_contract.py
@@ -4,11 +4,16 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from concurrent import futures
 import contextlib
+import socket
+import threading
+import time
 
 import pytest
 
 from peridotpost.calls import connections
+from peridotpost.kernel import counters
 from peridotpost.model import members
 from testing import callpath
 
@@ -412,3 +417,42 @@
         reply = await caller.ask('write', 'POST', '/', b'x')
         assert reply.word == 'not-run'
         assert target.requests == []
+
+
+async def test_busy_threads_do_not_make_a_listening_target_look_gone() -> None:
+    """A target listens, and its first request is refused all the same.
+
+    The machine was busy, so a thread that looked up the loopback address
+    got no turn for a second.  The connection counted as refused, and the
+    target was withdrawn for every caller.
+    """
+    loop = asyncio.get_running_loop()
+    release = threading.Event()
+    threads = futures.ThreadPoolExecutor(1)
+    loop.set_default_executor(threads)
+    threads.submit(release.wait)
+    try:
+        async with path(sends(OK), 'read') as (node, _, caller):
+            answer = await caller.ask('read')
+        assert answer.status == 200
+    finally:
+        release.set()
+
+
+async def test_stall_while_connecting_does_not_make_a_target_look_gone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The process stands still while a connection opens, past its limit.
+
+    The kernel has accepted the connection meanwhile.  When the process
+    runs again, the timer is due as well, and must not win.
+    """
+    monkeypatch.setattr(connections, 'CONNECT_S', 0.05)
+    pool = connections.ConnectionPool(counters.Counters())
+    with socket.create_server(('127.0.0.1', 0)) as listening:
+        port = listening.getsockname()[1]
+        opening = asyncio.ensure_future(pool._connect(port))
+        await asyncio.sleep(0)
+        time.sleep(2 * connections.CONNECT_S)
+        stream = await opening
+        stream.close()
