A watch that went out into a silent store is sent again when the store is back

The short calls beside the watch now tell when the store answers again. The test had no end without the change (watch of 60 s); passes with it. Log lines: steps on the way (a guard's refusal with its inputs, a lost dispatch) leave half of the bucket for what callers received; one served request a second is told as an example; 'tried' in the order asked.

--- a/src/peridotpost/kernel/lines.py
+++ b/src/peridotpost/kernel/lines.py
@@ -13,9 +13,7 @@
 
 import msgspec
 
-LINES_PER_S = 20.0
-"""Request lines a second, on average; some 5 KB a second."""
-BURST_LINES = 100.0
+from peridotpost.decisions import logbudget
 
 
 class LineLog:
@@ -34,8 +32,7 @@
         self.descriptor = descriptor
         self.wall = wall
         self.encoder = msgspec.json.Encoder()
-        self.tokens = BURST_LINES
-        self.filled_at = 0.0
+        self.budget = logbudget.LineBudget()
         self.left_out = 0
         self.dropped = 0
         self.cut = False
@@ -46,17 +43,25 @@
         """Log a change of what the process is or believes."""
         self._write(what, fields)
 
-    def request(self, decision: str, **fields: Any) -> None:
+    def request(
+        self,
+        decision: str,
+        weight: logbudget.Weight = logbudget.Weight.ENDING,
+        **fields: Any,
+    ) -> None:
         """Log a decision on a request, if there is room for the line."""
-        now = self.wall()
-        grown = self.tokens + max(0.0, now - self.filled_at) * LINES_PER_S
-        self.tokens = min(BURST_LINES, grown)
-        self.filled_at = now
-        if self.tokens < 1.0:
+        if self.budget.takes(weight, self.wall()):
+            self._write(decision, fields)
+        else:
             self.left_out += 1
-            return
-        self.tokens -= 1.0
-        self._write(decision, fields)
+
+    def served(self, now: float, **fields: Any) -> None:
+        """Log a request that was served, one in a second.
+
+        :param now: seconds of a steady clock.
+        """
+        if self.budget.takes_served(now):
+            self._write('served', fields)
 
     def _write(self, what: str, fields: dict[str, Any]) -> None:
         line: dict[str, Any] = {
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -111,6 +111,8 @@
         self.written = False
         self.written_at = 0.0
         self.wake = asyncio.Event()
+        self.back = asyncio.Event()
+        self.calls_fail = False
 
     async def watch(self) -> None:
         """Follow the configuration in the store until cancelled."""
@@ -121,7 +123,7 @@
                 if not revision:
                     read = await self.feed.read_config()
                 else:
-                    read = await self.feed.next_config(revision)
+                    read = await self._next_config(revision)
                 revision = read.revision
                 pause_s = RETRY_S
                 self._note(True, '')
@@ -139,6 +141,37 @@
                 await asyncio.sleep(pause_s * self._spread())
                 pause_s = min(MAX_RETRY_S, 1.5 * pause_s)
 
+    async def _next_config(self, revision: int) -> ConfigRead:
+        """Wait for a change; ask again at once when the store is back.
+
+        A watch that was sent while the store was silent was never
+        received.  It looks like one at which nothing changes, until its
+        timeout, and a version that comes meanwhile would be in force
+        seconds late on all hosts.  The other calls are short and show
+        when the store answers again.
+
+        :raises StoreError: as the watch.
+        """
+        self.back.clear()
+        watch = asyncio.ensure_future(self.feed.next_config(revision))
+        back = asyncio.ensure_future(self.back.wait())
+        try:
+            await asyncio.wait(
+                {watch, back}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if watch.done():
+                return watch.result()
+            self.counts.add('store.watch-renewed')
+            return ConfigRead(None, revision)
+        finally:
+            await tasks.end(watch, back)
+
+    def _calls_answered(self, answered: bool) -> None:
+        """Note whether the calls beside the watch are answered."""
+        if answered and self.calls_fail:
+            self.back.set()
+        self.calls_fail = not answered
+
     async def poll_records(self) -> None:
         """Read the hosts' records now and then, until cancelled.
 
@@ -153,11 +186,13 @@
                 records = await self.feed.read_records(stale)
                 self._take_records(records)
                 self._note_reads(True, '')
+                self._calls_answered(True)
                 reads += 1
                 pause_s = POLL_S if stale else FRESH_POLL_S
             except errors.StoreError as error:
                 self.counts.add('store.records-failed')
                 self._note_reads(False, str(error))
+                self._calls_answered(False)
                 pause_s = MAX_RETRY_S
             await asyncio.sleep(pause_s * self._spread())
 
@@ -187,6 +222,7 @@
                     self.written = True
                     self.written_at = deadlines.now()
                     self.log.state('record', to='written', lease=self.lease)
+                    self._calls_answered(True)
                 await self._rest(RENEW_S * (0.9 + 0.1 * self._spread()))
                 if not self.written:
                     continue
@@ -194,11 +230,13 @@
                     self.log.state('record', to='lapsed', lease=self.lease)
                     self.lease = 0
                 pause_s = RETRY_S
+                self._calls_answered(True)
             except errors.LeaseLapsed:
                 self.lease = 0
             except errors.StoreError as error:
                 self.counts.add('store.record-failed')
                 self._note(False, str(error))
+                self._calls_answered(False)
                 await asyncio.sleep(pause_s * self._spread())
                 pause_s = min(MAX_RETRY_S, 1.5 * pause_s)
 
--- a/src/peridotpost/proxy/exchange.py
+++ b/src/peridotpost/proxy/exchange.py
@@ -25,7 +25,7 @@
 class Exchange:
     """One request of a caller until it is answered.
 
-    :param tried: hosts whose guards were asked.
+    :param tried: hosts whose guards were asked, in that order.
     :param order: the dispatch under way; None between two.
     :param slot: of its deadline in the sweep.
     :param over: whether it was answered, or its caller has gone.
@@ -75,7 +75,7 @@
         )
         self.rank = route.rank
         self.head = b''
-        self.tried: set[str] = set()
+        self.tried: list[str] = []
         self.order: forwarding.Order | None = None
         self.candidate: selection.Candidate | None = None
         self.slot = 0
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import Any
 from typing import Protocol
 
 from peridotpost.decisions import attempts
 from peridotpost.decisions import budget as budget_rules
+from peridotpost.decisions import logbudget
 from peridotpost.decisions import poison
 from peridotpost.decisions import selection
 from peridotpost.decisions import split
@@ -161,7 +163,7 @@
                     reason = forwarding.Refusal.FULL
                 self._give_up(exchange, reason)
                 return
-            exchange.tried.add(candidate.host)
+            exchange.tried.append(candidate.host)
             order = self._order(exchange, candidate)
             exchange.order = order
             exchange.candidate = candidate
@@ -252,7 +254,8 @@
                 exchange.retry_after_s = outcome.retry_after_s
         elif isinstance(outcome, forwarding.Lost):
             candidate.note(True, now)
-            self._log(exchange, 'lost', candidate.host, outcome.detail)
+            step = logbudget.Weight.STEP
+            self._log(exchange, 'lost', candidate.host, outcome.detail, step)
         else:
             failed = outcome.status >= attempts.FAILED_STATUS
             candidate.note(failed, now)
@@ -273,9 +276,7 @@
         self._end(exchange)
         if self.poison.suspects and outcome.status < attempts.FAILED_STATUS:
             self.poison.cleared((self._fingerprint(exchange),))
-        if outcome.status >= attempts.FAILED_STATUS:
-            detail = str(outcome.status)
-            self._log(exchange, 'failed', self._host(exchange), detail)
+        self._log_answer(exchange, outcome.status)
         self._observe(exchange, outcome.status)
         exchange.respond(
             listener.Reply(
@@ -367,24 +368,44 @@
     def _host(self, exchange: exchanges.Exchange) -> str:
         return exchange.candidate.host if exchange.candidate else ''
 
+    def _log_answer(self, exchange: exchanges.Exchange, status: int) -> None:
+        if status >= attempts.FAILED_STATUS:
+            self._log(exchange, 'failed', self._host(exchange), str(status))
+            return
+        now = deadlines.now()
+        if now >= self.log.budget.next_served:
+            target = self._host(exchange)
+            told = self._told(exchange, target, str(status), now)
+            self.log.served(now, **told)
+
     def _log(
         self,
         exchange: exchanges.Exchange,
         decision: str,
         target: str,
         detail: str,
+        weight: logbudget.Weight = logbudget.Weight.ENDING,
     ) -> None:
-        now = deadlines.now()
-        self.log.request(
-            decision,
-            request=exchange.message.attempt_id.decode('latin-1'),
-            route=exchange.route.name,
-            service=exchange.service,
-            target=target,
-            detail=detail,
-            tried=sorted(exchange.tried),
-            arrivals=exchange.attempts.arrivals,
-            elapsed_ms=round((now - exchange.started) * 1000),
-            left_ms=round((exchange.deadline - now) * 1000),
-            version=self.config.version if self.config else 0,
-        )
+        told = self._told(exchange, target, detail, deadlines.now())
+        self.log.request(decision, weight, **told)
+
+    def _told(
+        self,
+        exchange: exchanges.Exchange,
+        target: str,
+        detail: str,
+        now: float,
+    ) -> dict[str, Any]:
+        """Return what each line about a request tells."""
+        return {
+            'request': exchange.message.attempt_id.decode('latin-1'),
+            'route': exchange.route.name,
+            'service': exchange.service,
+            'target': target,
+            'detail': detail,
+            'tried': exchange.tried,
+            'arrivals': exchange.attempts.arrivals,
+            'elapsed_ms': round((now - exchange.started) * 1000),
+            'left_ms': round((exchange.deadline - now) * 1000),
+            'version': self.config.version if self.config else 0,
+        }
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -12,6 +12,7 @@
 import random
 
 from peridotpost.decisions import incarnations
+from peridotpost.decisions import logbudget
 from peridotpost.decisions import poison
 from peridotpost.decisions import slots as slot_rules
 from peridotpost.kernel import counters
@@ -210,14 +211,32 @@
     def _apply(self, verdict: slot_rules.Verdict) -> None:
         for order in verdict.refused:
             self._forget(order)
-            order.settle(
-                forwarding.Refused(
-                    forwarding.Refusal.FULL, self.queue.return_s(order.rank)
-                )
-            )
+            return_s = self.queue.return_s(order.rank)
+            self._log_declined(order, return_s)
+            order.settle(forwarding.Refused(forwarding.Refusal.FULL, return_s))
         for order in verdict.started:
             self._start(order)
 
+    def _log_declined(self, order: forwarding.Order, return_s: float) -> None:
+        now = deadlines.now()
+        queue = self.queue
+        self.log.request(
+            'declined',
+            logbudget.Weight.STEP,
+            request=order.attempt_id.decode('latin-1'),
+            route=order.route,
+            rank=order.rank,
+            last=order.last,
+            running=queue.running,
+            waiting=len(queue.waiting),
+            slots=queue.slots,
+            wait_ms=round(queue.expected_wait_s(order.rank) * 1000),
+            run_ms=round(queue.expected_run_s(order.route) * 1000),
+            objective_ms=round((order.objective - now) * 1000),
+            left_ms=round((order.deadline - now) * 1000),
+            return_ms=round(return_s * 1000),
+        )
+
     def _start(self, order: forwarding.Order) -> None:
         now = deadlines.now()
         connection = self.idle.take(now, not order.idempotent)
--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -254,16 +254,16 @@
     return {
         'version': version,
         'routes': [
-            _route('read', '/read/', 'safe', 2, 'register'),
-            _route('write', '/write/', 'unsafe', 1, 'register'),
-            _route('other', '/other/', 'safe', 1, 'vault'),
+            route('read', '/read/', 'safe', 2, 'register'),
+            route('write', '/write/', 'unsafe', 1, 'register'),
+            route('other', '/other/', 'safe', 1, 'vault'),
         ],
         'services': [{'name': 'register'}, {'name': 'vault'}],
         'limits': {'maxHeaderBytes': 4096, 'maxBodyBytes': 100_000},
     } | changes
 
 
-def _route(
+def route(
     name: str, prefix: str, kind: str, rank: int, service: str
 ) -> dict[str, Any]:
     return {
--- a/testing/standins/kv.py
+++ b/testing/standins/kv.py
@@ -44,7 +44,8 @@
     """State, history and switches for faults.
 
     :param status: answers every call with it, unless 0.
-    :param hang: no call is answered.
+    :param hang: no call is answered, also not later.
+    :param held: paths of the calls that got no answer.
     """
 
     def __init__(self) -> None:
@@ -57,6 +58,7 @@
         self.hang = False
         self.lose_answers = False
         self.calls: list[str] = []
+        self.held: list[str] = []
         self.changed = asyncio.Condition()
 
     async def put(self, key: str, value: bytes, lease: int = 0) -> int:
@@ -88,6 +90,10 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def waiting_watches(self) -> int:
+        """Return how many watches went out into an outage."""
+        return self.held.count('/-/kv-watch')
+
     async def _note(self, item: Item) -> None:
         self.history.append(item)
         async with self.changed:
@@ -101,6 +107,7 @@
     async def prepare(self) -> None:
         self.kv.calls.append(self.request.path)
         if self.kv.hang:
+            self.kv.held.append(self.request.path)
             await asyncio.Event().wait()
         if self.kv.status:
             self.set_status(self.kv.status)
@@ -112,6 +119,8 @@
             connection = self.request.connection
             assert isinstance(connection, http1connection.HTTP1Connection)
             connection.detach().close()
+            # There is no connection left on which to end the answer.
+            self._auto_finish = False
             return
         self.set_header('Content-Type', 'application/json')
         self.finish(json.dumps(body) if body is not None else b'')
--- a/testing/test_lines.py
+++ b/testing/test_lines.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from peridotpost.decisions import logbudget
 from peridotpost.kernel import lines
 
 
@@ -53,11 +54,11 @@
     log = lines.LineLog('h', pipe[1], clock)
     for number in range(5000):
         log.request('refused', request=str(number))
-    assert len(read_lines(pipe[0])) == lines.BURST_LINES
+    assert len(read_lines(pipe[0])) == logbudget.BURST_LINES
     clock.now += 1.0
     log.request('refused', request='later')
     (line,) = read_lines(pipe[0])
-    assert line['left_out'] == 5000 - lines.BURST_LINES
+    assert line['left_out'] == 5000 - logbudget.BURST_LINES
     log.request('refused', request='next')
     (line,) = read_lines(pipe[0])
     assert 'left_out' not in line
@@ -95,3 +96,29 @@
     ]
     assert found[-1]['detail'] == 'after'
     assert found[-1]['dropped'] == dropped
+
+
+def test_steps_on_the_way_leave_room_for_what_callers_received(
+    pipe: tuple[int, int],
+) -> None:
+    """Four guards refuse each request before its caller is told.
+
+    Their lines come first and are more; they would push out the line that
+    a search for the request's id should find.
+    """
+    log = lines.LineLog('h', pipe[1], Clock())
+    for number in range(1000):
+        log.request('declined', logbudget.Weight.STEP, request=str(number))
+    for number in range(30):
+        log.request('refused', request=str(number))
+    events = [line['event'] for line in read_lines(pipe[0])]
+    assert events.count('refused') == 30
+    assert 0 < events.count('declined') < logbudget.BURST_LINES
+
+
+def test_one_served_request_a_second_is_told(pipe: tuple[int, int]) -> None:
+    log = lines.LineLog('h', pipe[1], Clock())
+    for turn in range(400):
+        log.served(turn / 100, request=str(turn))
+    told = [line['request'] for line in read_lines(pipe[0])]
+    assert told == ['0', '100', '200', '300']
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -6,6 +6,7 @@
 
 from peridotpost.mesh import storefeed
 from peridotpost.model import errors
+from peridotpost.platform import store
 from testing import proxies
 
 
@@ -173,3 +174,33 @@
 
 def _has(hosts: list[proxies.Host], version: int) -> bool:
     return all(one.proxy.versions.version == version for one in hosts)
+
+
+async def test_a_watch_lost_in_an_outage_is_sent_again_when_the_store_is_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store falls silent, and every daemon's watch goes out into it.
+
+    It comes back, operators write a version, and no daemon hears of it:
+    the watches were never received, and each daemon waits for the answer
+    until its timeout, seconds after other calls show that the store is
+    back.  Callers on calm hosts got 404 for the new route all that time.
+    """
+    monkeypatch.setattr(store, 'WATCH_MS', 60_000)
+    monkeypatch.setattr(store, 'CALL_S', 0.1)
+    monkeypatch.setattr(storefeed, 'RENEW_S', 0.1)
+    async with proxies.pair() as (mesh, first, second):
+        mesh.kv.hang = True
+        await mesh.kv.configure(proxies.config(2))
+        for host in (first, second):
+            counts = host.proxy.counts
+            await proxies.until(
+                lambda counts=counts: counts.totals['store.record-failed']  # type: ignore[misc]
+            )
+        await proxies.until(lambda: mesh.kv.waiting_watches() >= 2)
+        mesh.kv.hang = False
+        await mesh.kv.configure(proxies.config(3))
+        for host in (first, second):
+            await proxies.until(
+                lambda host=host: host.proxy.versions.version == 3  # type: ignore[misc]
+            )
