--- a/src/peridotpost/cli/subcommands/fleet.py
+++ b/src/peridotpost/cli/subcommands/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import pathlib
 import time
 from typing import Any
 import urllib.parse
@@ -11,6 +12,7 @@
 from peridotpost.admin import models
 from peridotpost.cli import common
 from peridotpost.cli import operator
+from peridotpost.cli.subcommands import fleetlogs
 from peridotpost.cli.subcommands import options
 from peridotpost.cli.subcommands import output
 
@@ -84,24 +86,47 @@
 
 
 @click.command(
-    epilog='Example: peridotctl explain --daemon 10.0.0.7:8082 bond-issue'
+    epilog='Example: peridotctl explain --daemon 10.0.0.7:8082 bond-issue; '
+    'peridotctl explain --logs logs/ 5f0c'
 )
-@click.argument('service')
-@options.daemons_option
+@click.argument('subject')
+@options.some_daemons_option
+@options.logs_option
 @options.json_option
-def explain(service: str, daemons: tuple[str, ...], as_json: bool) -> None:
-    """Tell where each daemon would send a call to SERVICE, and why."""
+def explain(
+    subject: str,
+    daemons: tuple[str, ...],
+    logs: pathlib.Path | None,
+    as_json: bool,
+) -> None:
+    """Tell where calls go, or what became of one.
 
-    async def body() -> int:
+    With --daemon, SUBJECT is a service: where each daemon would send a
+    call to it, and why.  With --logs, SUBJECT is a request's id: what each
+    daemon decided on it, and what changed around it.
+    """
+    _either(daemons, logs)
+
+    async def from_daemons() -> int:
         asked = await operator.ask_all(
             daemons, '/v1/status', models.DaemonStatus
         )
-        rows = [_explain(one, service) for one in asked]
+        rows = [_explain(one, subject) for one in asked]
         plain = '\n'.join(_spell(row) for row in rows)
         output.show(as_json, {'daemons': rows}, plain)
         return _heard(asked)
 
-    output.run(body, as_json)
+    async def from_logs() -> int:
+        assert logs is not None
+        return fleetlogs.explain(logs, subject, as_json)
+
+    output.run(from_logs if logs is not None else from_daemons, as_json)
+
+
+def _either(daemons: tuple[str, ...], logs: pathlib.Path | None) -> None:
+    """Refuse a command that names no source, or two."""
+    if bool(daemons) == (logs is not None):
+        raise click.UsageError('give either --daemon or --logs')
 
 
 def _explain(asked: operator.Asked, service: str) -> dict[str, Any]:
@@ -143,21 +168,24 @@
 
 @click.command(
     epilog='Example: peridotctl timeline --daemon 10.0.0.7:8082 '
-    '--request-id 5f0c --host hel-a1'
+    '--request-id 5f0c --host hel-a1; peridotctl timeline --logs logs/'
 )
-@options.daemons_option
+@options.some_daemons_option
+@options.logs_option
 @click.option('--request-id', default='', help='Only this request.')
 @click.option('--host', default='', help='Only events of this host.')
 @click.option('--revision', default=0, help='Only this version.')
 @options.json_option
 def timeline(
     daemons: tuple[str, ...],
+    logs: pathlib.Path | None,
     request_id: str,
     host: str,
     revision: int,
     as_json: bool,
 ) -> None:
     """Merge the events of all daemons, in the order of their clocks."""
+    _either(daemons, logs)
 
     async def body() -> int:
         query = {'request_id': request_id, 'revision': revision}
@@ -188,7 +216,12 @@
         )
         return _heard(asked)
 
-    output.run(body, as_json)
+    async def from_logs() -> int:
+        assert logs is not None
+        chosen = fleetlogs.Chosen(request_id, host, revision)
+        return fleetlogs.timeline(logs, chosen, as_json)
+
+    output.run(from_logs if logs is not None else body, as_json)
 
 
 def _heard(asked: list[operator.Asked]) -> int:
--- a/src/peridotpost/cli/subcommands/options.py
+++ b/src/peridotpost/cli/subcommands/options.py
@@ -46,6 +46,17 @@
     required=True,
     help='ADDRESS:PORT of an admin page; may be repeated.',
 )
+some_daemons_option = click.option(
+    '--daemon',
+    'daemons',
+    multiple=True,
+    help='ADDRESS:PORT of an admin page; may be repeated.',
+)
+logs_option = click.option(
+    '--logs',
+    type=click.Path(path_type=pathlib.Path, exists=True, file_okay=False),
+    help='Folder with the standard output of each peridot-proxy.',
+)
 text_argument = click.argument('file', type=click.Path(path_type=pathlib.Path))
 timeout_option = click.option(
     '--timeout-s',
--- /dev/null
+++ b/src/peridotpost/reports/__init__.py
@@ -0,0 +1,1 @@
+"""What the logs of a fleet tell afterwards."""
--- /dev/null
+++ b/testing/soak/faults.py
@@ -0,0 +1,171 @@
+"""Puts the drawn faults into a running fleet, and heals them."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import functools
+import signal
+import time
+
+from testing import proxies
+from testing.soak import callers
+from testing.soak import hosts
+from testing.soak import plan
+from testing.soak import records
+from testing.standins import kv as kv_standin
+
+RESTART_S = 1.0
+"""From a start until the process answers; it counts as disrupted so long."""
+
+
+class World:
+    """What faults act on."""
+
+    def __init__(
+        self,
+        fleet: dict[str, hosts.Host],
+        kv: kv_standin.Kv,
+        seen: records.Records,
+        newest: callers.Newest,
+    ) -> None:
+        self.fleet = fleet
+        self.kv = kv
+        self.seen = seen
+        self.newest = newest
+        self.configuring = asyncio.Lock()
+        self.busy: dict[str, asyncio.Lock] = {}
+
+    def only_one(self, process: str) -> asyncio.Lock:
+        """Return the lock under which a process is ended and started."""
+        return self.busy.setdefault(process, asyncio.Lock())
+
+    async def configure(self) -> None:
+        """Put the next version into the store."""
+        async with self.configuring:
+            version = self.newest.version + 1
+            text = proxies.config(version)
+            first = max(1, version - records.KEPT_ROUTES + 1)
+            text['routes'] += [
+                proxies.route(f'v{one}', f'/v{one}/', 'safe', 2, 'register')
+                for one in range(first, version + 1)
+            ]
+            await self.kv.configure(text)
+            self.newest.version = version
+            self.seen.versions[version] = time.monotonic()
+
+    @contextlib.asynccontextmanager
+    async def disrupting(
+        self, host: str, what: str, planned: bool = False
+    ) -> AsyncIterator[None]:
+        """Note a disruption from entry to exit."""
+        start = time.monotonic()
+        try:
+            yield
+        finally:
+            self.seen.disruptions.append(
+                records.Disruption(
+                    start, time.monotonic(), host, what, planned
+                )
+            )
+
+
+@functools.singledispatch
+async def inject(fault: plan.Fault, world: World) -> None:
+    """Put one fault in, wait, heal it."""
+    raise NotImplementedError(type(fault))
+
+
+@inject.register
+async def _(fault: plan.LinkFault, world: World) -> None:
+    link = world.fleet[fault.host].links[fault.link]
+    what = f'{fault.link} {fault.how}'
+    async with world.disrupting(fault.host, what):
+        match fault.how:
+            case 'reset':
+                link.reset()
+            case 'silence':
+                link.silence()
+            case 'refuse':
+                link.refuse = True
+                link.reset()
+            case 'delay':
+                link.delay_s = fault.delay_s
+            case 'cut-up':
+                link.open_up.clear()
+            case 'cut-down':
+                link.open_down.clear()
+        await asyncio.sleep(fault.lasts_s)
+        link.refuse = False
+        link.delay_s = 0.0
+        link.open_up.set()
+        link.open_down.set()
+
+
+@inject.register
+async def _(fault: plan.DaemonFault, world: World) -> None:
+    host = world.fleet[fault.host]
+    async with world.only_one(f'{fault.host} daemon'):
+        if fault.how == 'reload':
+            async with world.disrupting(fault.host, 'reload', planned=True):
+                host.signal_daemon(signal.SIGHUP)
+            return
+        planned = fault.how == 'stop'
+        async with world.disrupting(fault.host, fault.how, planned):
+            if fault.how == 'pause':
+                host.signal_daemon(signal.SIGSTOP)
+                await asyncio.sleep(fault.lasts_s)
+                host.signal_daemon(signal.SIGCONT)
+                return
+            how = signal.SIGTERM if planned else signal.SIGKILL
+            await host.end_daemon(how)
+            await asyncio.sleep(fault.lasts_s)
+            await host.start_daemon(fault.clock_s)
+            await asyncio.sleep(RESTART_S)
+
+
+@inject.register
+async def _(fault: plan.TargetFault, world: World) -> None:
+    host = world.fleet[fault.host]
+    async with world.only_one(f'{fault.host} target'):
+        async with world.disrupting(fault.host, f'target {fault.how}'):
+            if fault.how == 'pause':
+                host.signal_target(signal.SIGSTOP)
+                await asyncio.sleep(fault.lasts_s)
+                host.signal_target(signal.SIGCONT)
+                return
+            drains = fault.how == 'drain'
+            how = signal.SIGTERM if drains else signal.SIGKILL
+            await host.end_target(how)
+            await asyncio.sleep(fault.lasts_s)
+            await host.start_target(fault.same_id)
+            await asyncio.sleep(RESTART_S)
+
+
+@inject.register
+async def _(fault: plan.StoreFault, world: World) -> None:
+    kv = world.kv
+    async with (
+        world.only_one('store'),
+        world.disrupting('', f'store {fault.how}'),
+    ):
+        match fault.how:
+            case 'fail':
+                kv.status = 503
+            case 'hang':
+                kv.hang = True
+            case 'lose-answers':
+                kv.lose_answers = True
+            case 'compact':
+                await kv.compact()
+            case 'lapse':
+                for lease in sorted(kv.leases):
+                    await kv.end_lease(lease)
+        await asyncio.sleep(fault.lasts_s)
+        kv.status = 0
+        kv.hang = False
+        kv.lose_answers = False
+
+
+@inject.register
+async def _(fault: plan.ConfigChange, world: World) -> None:
+    await world.configure()
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -193,14 +193,19 @@
         mesh.kv.hang = True
         await mesh.kv.configure(proxies.config(2))
         for host in (first, second):
-            counts = host.proxy.counts
             await proxies.until(
-                lambda counts=counts: counts.totals['store.record-failed']  # type: ignore[misc]
+                functools.partial(_counted, host, 'store.record-failed')
             )
         await proxies.until(lambda: mesh.kv.waiting_watches() >= 2)
         mesh.kv.hang = False
         await mesh.kv.configure(proxies.config(3))
         for host in (first, second):
-            await proxies.until(
-                lambda host=host: host.proxy.versions.version == 3  # type: ignore[misc]
-            )
+            await proxies.until(functools.partial(_is_in_force, host, 3))
+
+
+def _counted(host: proxies.Host, name: str) -> bool:
+    return host.proxy.counts.totals[name] > 0
+
+
+def _is_in_force(host: proxies.Host, version: int) -> bool:
+    return host.proxy.versions.version == version
