--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 import os
+import pathlib
 from typing import Any
 
 import msgspec
@@ -146,7 +147,10 @@
 
 
 class Mesh:
-    """Proxies by name and the store that they share."""
+    """Proxies by name and the store that they share.
+
+    :param logs: folder for their log lines; None to drop these.
+    """
 
     def __init__(self, kv: kv_standin.Kv, store: str) -> None:
         self.kv = kv
@@ -154,6 +158,13 @@
         self.hosts: dict[str, Host] = {}
         self.stack = contextlib.AsyncExitStack()
         self.started = 0
+        self.logs: pathlib.Path | None = None
+
+    def _descriptor(self, name: str) -> int:
+        if self.logs is None:
+            return -1
+        path = self.logs / f'{name}.log'
+        return self.stack.enter_context(path.open('ab')).fileno()
 
     async def add(
         self,
@@ -191,7 +202,7 @@
         )
         settings = msgspec.structs.replace(settings, link_mbps=link_mbps)
         adapter = self.stack.enter_context(assembly.adapter_for(settings))
-        log = lines.LineLog(name, descriptor=-1)
+        log = lines.LineLog(name, self._descriptor(name))
         proxy = daemon.ProxyDaemon(settings, adapter, log)
         await self.stack.enter_async_context(proxy.running())
         return Host(name, address, settings, proxy, worker)
