Soak: its own stalls count as disruptions of all hosts

Its record shows that no caller of any host sent anything, and nothing on any host ended, from 580.51 to 581.17 s: the soak and the fleet stood still together, so the ingress read the request late. Wake-ups that come 0.25 s late are noted now. Ruled out: the relays (none is between callers and ingresses), the hosts named (no fault on h5 or h2 in the 3 s before).

--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -10,6 +10,7 @@
 import random
 import time
 
+from peridotpost.kernel import tasks
 from testing.soak import callers
 from testing.soak import faults
 from testing.soak import hosts
@@ -28,6 +29,10 @@
 """Availability zone and service of each host."""
 CALLERS_PER_HOST = 3
 WARM_UP_S = 3.0
+TICK_S, STALL_S = 0.05, 0.25
+"""The soak looks at its own clock so often; where it wakes later than by
+``STALL_S``, the machine gave it no processor, nor can it have given any to
+the processes under test with certainty."""
 AFTERWARDS_S = promises.RECOVERY_S + 4.0
 
 
@@ -108,6 +113,7 @@
         for name, host in world.fleet.items()
         for index in range(CALLERS_PER_HOST)
     ]
+    noting = asyncio.ensure_future(_note_stalls(world.seen, [*world.fleet]))
     async with asyncio.TaskGroup() as group:
         for fault in drawn:
             group.create_task(_at(start, fault, world))
@@ -115,9 +121,24 @@
     await asyncio.sleep(AFTERWARDS_S)
     stop.set()
     await asyncio.gather(*calling)
+    await tasks.end(noting)
     world.seen.ended = time.monotonic()
 
 
+async def _note_stalls(seen: records.Records, names: list[str]) -> None:
+    """Note as a disruption of all hosts when the soak itself stood still."""
+    last = time.monotonic()
+    while not tasks.cancelled():
+        await asyncio.sleep(TICK_S)
+        now = time.monotonic()
+        if now - last > STALL_S:
+            seen.disruptions += [
+                records.Disruption(last, now, name, 'soak stood still')
+                for name in names
+            ]
+        last = now
+
+
 async def _at(start: float, fault: plan.Fault, world: faults.World) -> None:
     await asyncio.sleep(max(0.0, start + fault.at - time.monotonic()))
     await faults.inject(fault, world)
