A few neighbours are asked for the fleet when the store is out, not all; a read moves from a silent host only where a second run may follow

Hosts with slow links did not answer pings for 0.4 s and more, were taken for silent, and reads there were given up, also where no other run could follow. Ruled out: a drain (hall-6 was not leaving), a cut (none before 29.5 s). Asked are three of the own zone now, one of another where there is none. Frames to other zones are counted by kind; all counters are logged every 10 s.

--- a/src/peridotpost/decisions/attempts.py
+++ b/src/peridotpost/decisions/attempts.py
@@ -13,6 +13,10 @@
   to another target, within the route's attempts, the time left and the
   fleet's budget of repeats.
 - A refusal after a lost answer does not make the whole "not run".
+- A run whose host has fallen silent is given up for another target only
+  if that other run may follow.  A busy host is silent for half a second
+  and answers then; given up without a successor the request is lost, and
+  its target's work with it.
 """
 
 from collections.abc import Callable
@@ -79,6 +83,14 @@
             return Step.GIVE_UP
         return Step.ANSWER
 
+    def may_follow(self, now: float) -> bool:
+        """Whether another run may follow the one under way."""
+        return (
+            self.idempotent
+            and self.arrivals + 1 < self.max_attempts
+            and self.deadline - now >= MIN_REPEAT_S
+        )
+
     def _after_refusal(
         self,
         outcome: forwarding.Refused,
--- a/src/peridotpost/decisions/budget.py
+++ b/src/peridotpost/decisions/budget.py
@@ -49,15 +49,19 @@
 
     def spend(self, service: str, members: int, now: float) -> bool:
         """Take one repeat; False when there is none left."""
-        current = self._current(service, now)
+        if not self.has_room(service, members, now):
+            return False
+        self._current(service, now).repeats += 1
+        return True
+
+    def has_room(self, service: str, members: int, now: float) -> bool:
+        """Whether a repeat could be taken now."""
+        self._current(service, now)
         held = self.services[service]
         requests = sum(one.requests for one in held)
         repeats = sum(one.repeats for one in held)
         allowed = self.ratio * requests + self.extra / max(1, members)
-        if repeats + 1 > SHARE * allowed:
-            return False
-        current.repeats += 1
-        return True
+        return repeats + 1 <= SHARE * allowed
 
     def _current(self, service: str, now: float) -> Slice:
         number = int(now / self.slice_s)
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -8,6 +8,7 @@
 import time
 
 from peridotpost.border import proxy as border
+from peridotpost.decisions import asking
 from peridotpost.decisions import budget
 from peridotpost.decisions import following
 from peridotpost.decisions import selection
@@ -41,6 +42,9 @@
 END_SHARE = 0.88
 """Part of the grace after which the process ends whatever still runs."""
 POLL_S = 0.02
+COUNTS_S = 10.0
+"""Pause between log lines with all counters: some 100 bytes a second, for
+those who have the logs only."""
 
 
 class ProxyDaemon:
@@ -153,6 +157,7 @@
                 asyncio.ensure_future(self._sweep_peers()),
                 asyncio.ensure_future(self._sweep_ports()),
                 asyncio.ensure_future(self._follow()),
+                asyncio.ensure_future(self._tell_counts()),
             ]
             if not self.versions.following.slow:
                 running.append(asyncio.ensure_future(self.feed.watch()))
@@ -307,12 +312,25 @@
             else:
                 self.versions.beat()
 
+    async def _tell_counts(self) -> None:
+        while not tasks.cancelled():
+            await asyncio.sleep(COUNTS_S)
+            self.log.state('counts', **self.counts.totals)
+
     def _ask_peers(self) -> None:
         """Learn from peers what the store does not tell."""
-        for stream in self.directory.streams():
-            if not stream.asked:
-                stream.asked = True
-                stream.send(frames.Known([]))
+        streams = {one.host: one for one in self.directory.streams()}
+        known = [
+            asking.Neighbour(
+                host, self.directory.is_far(streams[host].zone), one.asked
+            )
+            for host, one in streams.items()
+            if host
+        ]
+        self.randomness.shuffle(known)
+        for host in asking.to_ask(known):
+            streams[host].asked = True
+            streams[host].send(frames.Known([]))
 
     async def _sweep_ports(self) -> None:
         while not tasks.cancelled():
--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -61,6 +61,10 @@
 Outcome = TargetAnswer | Refused | Lost
 
 
+def _never() -> bool:
+    return False
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class Order:
     """One dispatch of a request to one target, by way of its host's guard.
@@ -73,6 +77,8 @@
     :param rank: 0 is the most urgent; calls of targets come before all.
     :param last: no other target will be asked if this one refuses.
     :param done: gets the outcome, exactly once.
+    :param may_move: whether another target would be asked if this one
+        were given up now.
     """
 
     number: int
@@ -92,6 +98,7 @@
     settled: bool = False
     started: float = 0.0
     received: float = 0.0
+    may_move: Callable[[], bool] = _never
 
     def settle(self, outcome: Outcome) -> None:
         """Hand over the outcome; a second one is dropped.
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -211,9 +211,22 @@
                 exchange, candidate, order, outcome
             ),
             route=exchange.route.name,
+            may_move=lambda: self._may_move(exchange),
         )
         return order
 
+    def _may_move(self, exchange: exchanges.Exchange) -> bool:
+        """Whether a request may leave its target for another one."""
+        now = deadlines.now()
+        if not exchange.attempts.may_follow(now):
+            return False
+        others = any(
+            one.ready and one.host not in exchange.tried
+            for one in self.backends.candidates(exchange.service)
+        )
+        members = self.backends.members()
+        return others and self.budget.has_room(exchange.service, members, now)
+
     def _ended(
         self,
         exchange: exchanges.Exchange,
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 import zlib
 
+from peridotpost.kernel import counters
 from peridotpost.model import forwarding
 from peridotpost.model import instances
 from peridotpost.proxy import deadlines
@@ -38,6 +39,7 @@
     """What a stream's owner does with frames that are not of calls."""
 
     version: int
+    counts: counters.Counters
 
     def hello(self, compressed: bool) -> frames.Hello:
         """Return what is told first."""
@@ -109,7 +111,11 @@
         """Queue a frame for the end of this turn of the loop."""
         if self.closed:
             return
-        self.pending.append(frames.encode(frame))
+        raw = frames.encode(frame)
+        self.pending.append(raw)
+        if self.deflater is not None:
+            kind = type(frame).__name__.lower()
+            self.owner.counts.add(f'far-bytes.{kind}', len(raw))
         if not self.flushing:
             self.flushing = True
             asyncio.get_running_loop().call_soon(self._flush)
@@ -127,6 +133,8 @@
         if self.deflater is not None:
             raw = self.deflater.compress(raw)
             raw += self.deflater.flush(zlib.Z_SYNC_FLUSH)
+            self.owner.counts.add('far-bytes.sent', len(raw))
+            self.owner.counts.add('far-writes')
         self.transport.write(raw)
 
     def dispatch(self, order: forwarding.Order) -> None:
@@ -321,7 +329,7 @@
             if silent_s > DEAD_S:
                 self.close()
             elif silent_s > SUSPECT_S:
-                self._give_up_idempotent()
+                self._move_what_may_run_twice()
             return
         quiet_since = self.received_at
         if self.sent:
@@ -331,9 +339,9 @@
             self.pinged_at = now
             self.send(frames.Ping(self.owner.version))
 
-    def _give_up_idempotent(self) -> None:
+    def _move_what_may_run_twice(self) -> None:
         for number, order in list(self.sent.items()):
-            if order.idempotent:
+            if order.idempotent and order.may_move():
                 del self.sent[number]
                 self.send(frames.Cancel(number))
                 order.settle(forwarding.Lost(f'{self.host} is silent'))
--- /dev/null
+++ b/testing/test_asking.py
@@ -0,0 +1,45 @@
+"""Whom a daemon asks for the fleet while the store is out."""
+
+import pytest
+
+from peridotpost.decisions import asking
+
+
+def neighbours(near: int, far: int, asked: int = 0) -> list[asking.Neighbour]:
+    return [
+        asking.Neighbour(f'h{number}', number >= near, number < asked)
+        for number in range(near + far)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('near', 'far', 'asked', 'wanted'),
+    [
+        pytest.param(11, 48, 0, asking.ENOUGH, id='a few of the zone'),
+        pytest.param(11, 48, 3, 0, id='enough were asked'),
+        pytest.param(11, 48, 1, 2, id='one answer may still come'),
+        pytest.param(2, 48, 0, 2, id='a small zone'),
+        pytest.param(0, 48, 0, asking.ENOUGH_FAR, id='alone in its zone'),
+        pytest.param(0, 48, 1, 0, id='alone, and asked'),
+        pytest.param(0, 0, 0, 0, id='nobody'),
+    ],
+)
+def test_a_few_near_ones_are_asked(
+    near: int, far: int, asked: int, wanted: int
+) -> None:
+    chosen = asking.to_ask(neighbours(near, far, asked))
+    assert len(chosen) == wanted
+    assert all(int(host[1:]) < max(near, 1) + asked for host in chosen)
+
+
+def test_an_outage_of_the_store_does_not_flood_slow_links() -> None:
+    """The store turns away a fleet of 60; all ask for the others.
+
+    Asked on every stream, each host got the list 118 times, a second of a
+    slow link, and healthy hosts were taken for silent meanwhile.
+    """
+    list_bytes = 60 * 100
+    hosts = neighbours(11, 48)
+    received = len(asking.to_ask(hosts)) * list_bytes
+    slowest_link_bytes_per_s = 2_500_000 / 8
+    assert received < 0.1 * slowest_link_bytes_per_s
--- a/testing/test_peer_streams.py
+++ b/testing/test_peer_streams.py
@@ -88,6 +88,7 @@
         objective=now + 5,
         last=True,
         done=done,
+        may_move=lambda: True,
     )
 
 
@@ -111,3 +112,24 @@
         )
         await asyncio.sleep(0)
         assert before is not None and before.closed
+
+
+async def test_a_read_that_nobody_else_may_run_waits_for_a_silent_peer() -> (
+    None
+):
+    """A busy host is silent for half a second, then it answers.
+
+    A read of a route with one attempt was given up meanwhile: its target's
+    work was thrown away, and its caller got 502 with no second try.
+    """
+    async with proxies.pair() as (_, first, _second):
+        stream = first.proxy.directory.peers['b'].stream
+        assert stream is not None and stream.transport is not None
+        stream.transport.pause_reading()
+        outcomes: dict[str, forwarding.Outcome] = {}
+        order = _order('read', True, outcomes)
+        order.may_move = lambda: False
+        stream.dispatch(order)
+        stream.check(deadlines.now() + peers.SILENCE_S * 1.1)
+        stream.check(stream.pinged_at + peers.SUSPECT_S * 1.1)
+        assert not outcomes
