--- /dev/null
+++ b/src/peridotpost/experiment/clock.py
@@ -0,0 +1,26 @@
+"""Simulated time: events in order, nothing waits."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+
+
+class SimulatedClock:
+    """Runs callbacks at simulated times, in seconds."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.done = 0
+
+    def after(self, seconds: float, callback: Callable[[], None]) -> None:
+        entry = (self.now + seconds, next(self.numbers), callback)
+        heapq.heappush(self.events, entry)
+
+    def run(self) -> None:
+        """Run until no event is left."""
+        while self.events:
+            self.now, _, callback = heapq.heappop(self.events)
+            self.done += 1
+            callback()
