--- /dev/null
+++ b/testing/test_experiment.py
@@ -0,0 +1,227 @@
+"""The model of an experiment: what it plays, and what decisions do in it."""
+
+import json
+import pathlib
+
+from click import testing as click_testing
+import msgspec
+import pytest
+
+from peridotpost.cli import experiment
+from peridotpost.decisions import selection
+from peridotpost.experiment import policies
+from peridotpost.experiment import results
+from peridotpost.experiment import scenario as scenarios
+from peridotpost.experiment import simulation
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / 'examples' / 'experiments'
+DOUBLE_LOAD = EXAMPLES / 'double-load.json'
+
+
+@pytest.fixture(scope='module')
+def double_load() -> scenarios.Scenario:
+    return scenarios.load(DOUBLE_LOAD)
+
+
+def calm(**changes: object) -> scenarios.Scenario:
+    """Return a small fleet with room for all, with changes."""
+    plain = {
+        'zones': 2,
+        'seconds': 5,
+        'services': [{'name': 's', 'per_zone': 2, 'slots': 4}],
+        'routes': [
+            {
+                'name': 'r',
+                'service': 's',
+                'per_s': 20,
+                'work_ms': 20,
+                'objective_ms': 200,
+                'deadline_ms': 500,
+            }
+        ],
+    }
+    return msgspec.convert(plain | changes, scenarios.Scenario)
+
+
+def play(
+    scenario: scenarios.Scenario, seed: int = 1, **constants: float
+) -> results.Result:
+    named = {name.replace('__', '.'): constants[name] for name in constants}
+    with policies.replaced(named):
+        return simulation.play(scenario, seed, 'test')
+
+
+def test_a_calm_fleet_serves_all_in_its_own_zone() -> None:
+    found = play(calm()).routes['r']
+    assert found.asked == found.in_time > 50
+    assert found.credit == found.owed
+    assert found.crossings == 0
+
+
+def test_a_seed_plays_the_same_each_time(
+    double_load: scenarios.Scenario,
+) -> None:
+    short = msgspec.structs.replace(double_load, seconds=3.0, phases=())
+    assert play(short, 4).to_json() == play(short, 4).to_json()
+    assert play(short, 4).to_json() != play(short, 5).to_json()
+
+
+def test_a_refused_caller_comes_back_and_is_counted_once() -> None:
+    """One slot, runs as long as the objective: most are refused at first."""
+    scenario = calm(
+        zones=1,
+        services=[{'name': 's', 'per_zone': 1, 'slots': 1}],
+        routes=[
+            {
+                'name': 'r',
+                'service': 's',
+                'per_s': 10,
+                'work_ms': 150,
+                'objective_ms': 160,
+                'deadline_ms': 300,
+                'retries': 2,
+            }
+        ],
+    )
+    found = play(scenario).routes['r']
+    assert found.refused and found.late
+    assert found.asked == found.in_time + found.late + found.refused + (
+        found.failed
+    )
+
+
+def test_a_call_that_fails_fails_the_run_that_made_it() -> None:
+    scenario = calm(
+        routes=[
+            {
+                'name': 'r',
+                'service': 's',
+                'per_s': 20,
+                'work_ms': 20,
+                'objective_ms': 200,
+                'deadline_ms': 500,
+                'max_attempts': 1,
+                'calls': [{'route': 'inner'}],
+            },
+            {
+                'name': 'inner',
+                'service': 's',
+                'work_ms': 400,
+                'objective_ms': 30,
+                'deadline_ms': 40,
+            },
+        ]
+    )
+    found = play(scenario)
+    assert found.routes['inner'].failed
+    assert found.routes['r'].failed > found.routes['r'].in_time
+
+
+@pytest.mark.parametrize(
+    ('zones', 'per_zone'),
+    [
+        pytest.param(4, 3, id='12 hosts'),
+        pytest.param(5, 12, id='60 hosts'),
+        pytest.param(6, 50, id='300 hosts'),
+    ],
+)
+def test_fleets_of_all_sizes_are_played(zones: int, per_zone: int) -> None:
+    scenario = calm(
+        zones=zones,
+        seconds=2,
+        services=[{'name': 's', 'per_zone': per_zone, 'slots': 4}],
+    )
+    found = play(scenario)
+    assert found.hosts == zones * per_zone
+    assert found.credit_share == 1.0
+
+
+@pytest.mark.parametrize(
+    ('change', 'words'),
+    [
+        pytest.param({'routes': [{'name': 'r'}]}, 'service', id='missing'),
+        pytest.param({'zone': 2}, 'unknown field', id='misspelt'),
+        pytest.param({'zones': 0}, '$.zones', id='out of range'),
+        pytest.param(
+            {'phases': [{'start_s': 0, 'end_s': 1, 'ailing': 'x'}]},
+            'no service',
+            id='ailing nobody',
+        ),
+    ],
+)
+def test_a_wrong_scenario_names_file_and_field(
+    change: dict[str, object], words: str, tmp_path: pathlib.Path
+) -> None:
+    path = tmp_path / 'wrong.json'
+    path.write_text(json.dumps(json.loads(DOUBLE_LOAD.read_text()) | change))
+    with pytest.raises(scenarios.BadScenario) as caught:
+        scenarios.load(path)
+    assert words in str(caught.value)
+    assert 'wrong.json' in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        pytest.param('selection.NO_SUCH', id='no constant'),
+        pytest.param('nowhere.FULL', id='no module'),
+        pytest.param('selection.Selector', id='no number'),
+    ],
+)
+def test_a_policy_replaces_numbers_of_decisions_only(name: str) -> None:
+    with pytest.raises(policies.NoSuchConstant), policies.replaced({name: 1}):
+        pass
+
+
+def test_a_policy_is_over_when_its_run_is() -> None:
+    before = selection.WORTH_CROSSING
+    with policies.replaced({'selection.WORTH_CROSSING': 0.9}):
+        assert selection.WORTH_CROSSING == 0.9
+    assert selection.WORTH_CROSSING == before
+
+
+def test_compare_shows_each_policy_and_draws(tmp_path: pathlib.Path) -> None:
+    raw = json.loads(DOUBLE_LOAD.read_text()) | {'seconds': 1, 'phases': []}
+    path = tmp_path / 's.json'
+    path.write_text(json.dumps(raw))
+    picture = tmp_path / 'p.svg'
+    result = click_testing.CliRunner().invoke(
+        experiment.main,
+        ['compare', str(path), 'as-built', 'own-zone-only', '--json']
+        + ['--plot', str(picture)],
+    )
+    assert result.exit_code == 0, result.output
+    shown = json.loads(result.output)
+    assert [one['policy'] for one in shown] == ['as-built', 'own-zone-only']
+    assert picture.stat().st_size
+    unknown = click_testing.CliRunner().invoke(
+        experiment.main, ['run', str(path), '--policy', 'none']
+    )
+    assert unknown.exit_code == 1
+    assert 'as-built, own-zone-only' in unknown.output
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_a_surge_crosses_zones_only_where_that_serves_callers(
+    double_load: scenarios.Scenario, seed: int
+) -> None:
+    """Load nearly doubles, and two of five targets of a service ail.
+
+    With zones crossed for any gain of a third, requests rush to far
+    targets that others rush to as well: the bytes are paid for, and
+    callers are served no better.
+    """
+    built = play(double_load, seed)
+    eager = play(double_load, seed, selection__WORTH_CROSSING=0.7)
+    assert built.far_kilobytes < 0.8 * eager.far_kilobytes
+    assert built.credit_share > eager.credit_share - 0.01
+
+
+def test_requests_that_will_be_late_do_not_hold_up_the_others(
+    double_load: scenarios.Scenario,
+) -> None:
+    """The most urgent route keeps its credit whatever the least one does."""
+    found = play(double_load).routes
+    urgent, least = found['coin-settle'], found['kiosk-status']
+    assert urgent.credit_share > 0.97
+    assert least.credit_share < urgent.credit_share
