--- a/src/peridotpost/border/proxy.py
+++ b/src/peridotpost/border/proxy.py
@@ -42,7 +42,12 @@
 
 
 class Retries(_Checked, frozen=True):
-    """Bound on repeats at one service, over the fleet, in any window."""
+    """Bound on repeats at one service, over the fleet, in any window.
+
+    :param ratio: repeats for each request.
+    :param extra: repeats besides, in a window.
+    :param window_s: length of the window, seconds.
+    """
 
     ratio: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.2
     extra: Annotated[float, msgspec.Meta(ge=0)] = 60.0
@@ -61,6 +66,9 @@
 class ProxySettings(_Checked, frozen=True):
     """Everything that ``peridot-proxy`` is told.
 
+    :param host: name of this host, the same after each restart.
+    :param availability_zone: where the host stands.
+    :param address: IP address that other daemons reach it at.
     :param service: the service of this host's target.
     :param target: address of this host's target.
     :param link_mbps: what the host's network link carries, Mbit/s.
--- a/src/peridotpost/cli/peridotctl.py
+++ b/src/peridotpost/cli/peridotctl.py
@@ -5,6 +5,7 @@
 from peridotpost.cli.subcommands import acceptance
 from peridotpost.cli.subcommands import fleet
 from peridotpost.cli.subcommands import output
+from peridotpost.cli.subcommands import references
 from peridotpost.cli.subcommands import rollout
 from peridotpost.cli.subcommands import texts
 
@@ -30,6 +31,7 @@
     fleet.status,
     fleet.explain,
     fleet.timeline,
+    references.reference,
 ):
     main.add_command(command)
 
--- /dev/null
+++ b/src/peridotpost/cli/subcommands/references.py
@@ -0,0 +1,11 @@
+"""The command that prints the reference."""
+
+import click
+
+from peridotpost.border import reference as references
+
+
+@click.command(epilog='Example: peridotctl reference > docs/reference.md')
+def reference() -> None:
+    """Print all settings and fields of the text, as Markdown."""
+    click.echo(references.render(), nl=False)
