What waits in vain is refused before its deadline, not answered 504 at it

Cause: a guard refused a waiting request that could not make its deadline only when a slot freed; where none did, the ingress answered 504 at the deadline, which a write's caller can't repeat. The test got 504 before, gets 503 with Retry-After now.

--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -20,7 +20,8 @@
   can't make its deadline.
 - Of those that will be late only a few wait at a time.
 - One that can't make its deadline any more is refused the moment a slot
-  frees, not when the deadline passes.
+  frees; where none does, as soon as what is left is too short for a run.
+  At the deadline itself its caller would be told that it may have run.
 - The refused are told when a slot is expected, spread over half of that
   time: all would otherwise come back as the burst that they were.
 
@@ -152,6 +153,11 @@
                 verdict.started.append(order)
         return verdict
 
+    def hopeless_at(self, order: forwarding.Order) -> float:
+        """When a waiting order can't make its deadline any more."""
+        least_s = LEAST_RUN_SHARE * self.expected_run_s(order.route)
+        return order.deadline - least_s
+
     def withdraw(self, order: forwarding.Order) -> None:
         """Take out a waiting order."""
         for index, (rank, late, _, held) in enumerate(self.waiting):
--- a/src/peridotpost/experiment/simulation.py
+++ b/src/peridotpost/experiment/simulation.py
@@ -60,15 +60,19 @@
         clock = self.fleet.clock
         if order.settled:
             return
-        clock.after(
-            max(0.0, order.deadline - clock.now), lambda: self._expire(order)
-        )
-        self._apply(self.queue.arrive(order, clock.now))
+        verdict = self.queue.arrive(order, clock.now)
+        if not verdict.started and not verdict.refused:
+            left_s = self.queue.hopeless_at(order) - clock.now
+            clock.after(max(0.0, left_s), lambda: self._expire(order))
+        self._apply(verdict)
 
     def _expire(self, order: forwarding.Order) -> None:
         if not order.settled and not order.started:
             self.queue.withdraw(order)
-            order.settle(forwarding.Refused(forwarding.Refusal.TOO_LATE))
+            return_s = self.queue.return_s(order.rank)
+            order.settle(
+                forwarding.Refused(forwarding.Refusal.TOO_LATE, return_s)
+            )
 
     def _apply(self, verdict: slots.Verdict) -> None:
         for order in verdict.refused:
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -156,12 +156,10 @@
             return
         now = deadlines.now()
         order.received = now
-        self.expiries[order] = self.sweep.add(
-            order.deadline + DEADLINE_SLACK_S,
-            order,
-            lambda: self._expired(order),
-        )
-        self._apply(self.queue.arrive(order, now))
+        verdict = self.queue.arrive(order, now)
+        if not verdict.started and not verdict.refused:
+            self._expire_at(self.queue.hopeless_at(order), order)
+        self._apply(verdict)
 
     def cancel(self, order: forwarding.Order) -> None:
         """Take back an order; settles it as not run if it still waits."""
@@ -237,7 +235,14 @@
             return_ms=round(return_s * 1000),
         )
 
+    def _expire_at(self, at: float, order: forwarding.Order) -> None:
+        self._forget(order)
+        self.expiries[order] = self.sweep.add(
+            at, order, lambda: self._expired(order)
+        )
+
     def _start(self, order: forwarding.Order) -> None:
+        self._expire_at(order.deadline + DEADLINE_SLACK_S, order)
         now = deadlines.now()
         connection = self.idle.take(now, not order.idempotent)
         if connection is not None:
@@ -392,7 +397,11 @@
             return
         if order not in self.running and order not in self.opening:
             self.queue.withdraw(order)
-            order.settle(forwarding.Refused(forwarding.Refusal.TOO_LATE))
+            return_s = self.queue.return_s(order.rank)
+            self._log_declined(order, return_s)
+            order.settle(
+                forwarding.Refused(forwarding.Refusal.TOO_LATE, return_s)
+            )
             return
         started = order in self.running
         self._abort(order)
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -116,6 +116,35 @@
         assert host.worker.most_at_once == 2
 
 
+async def test_a_request_that_waited_in_vain_is_refused_in_time() -> None:
+    """A write waits for a slot, and none frees before its deadline.
+
+    At the deadline its ingress could only say that it may have run, and a
+    write can't be sent again after that.  The guard knows better, and says
+    so while there is time.
+    """
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a', slots=1)
+        await host.announce()
+        await mesh.ready()
+        async with host.caller() as holding:
+            holding.send('/read/hold', attempt='holds')
+            await host.worker.began.wait()
+            answer = await host.ask(
+                '/write/ok',
+                method='POST',
+                attempt='waits',
+                body=b'x',
+                X_Deadline_Remaining_Ms='700',
+            )
+            host.worker.release.set()
+            await holding.receive()
+        assert answer.status == 503
+        assert 'retry-after' in answer.headers
+        assert host.worker.attempts() == ['holds']
+
+
 async def test_a_caller_that_leaves_stops_an_idempotent_run() -> None:
     async with proxies.pair() as (_, first, second):
         async with first.caller() as caller:
