--- a/src/peridotpost/cli/subcommands/acceptance.py
+++ b/src/peridotpost/cli/subcommands/acceptance.py
@@ -47,7 +47,7 @@
     async def body() -> int:
         text = operator.text_for(mesh, file)
         with operator.opened_store(endpoints, timeout_s) as platform:
-            standing = await _standing(platform, mesh, base)
+            standing = await _standing(platform, mesh, base, as_json)
             if isinstance(standing, result.Err):
                 return output.fail(as_json, standing.err_value)
             proposed = operator.propose(
@@ -95,7 +95,7 @@
                 return output.fail(as_json, found.err_value)
             text = found.ok_value.text
             operator.mesh_of(text, f'version {revision}')
-            standing = await _standing(platform, mesh, base)
+            standing = await _standing(platform, mesh, base, as_json)
             if isinstance(standing, result.Err):
                 return output.fail(as_json, standing.err_value)
             proposed = operator.propose(
@@ -112,13 +112,24 @@
 
 
 async def _standing(
-    platform: store.Store, mesh: str, base: int | None
+    platform: store.Store, mesh: str, base: int | None, as_json: bool
 ) -> result.Result[int, errors.StoreError]:
-    """Return `base`, or without it the revision in force."""
+    """Return `base`, or without it the revision in force.
+
+    The one taken is told before anything is written: a text that was made
+    on an older version would else replace what came since in silence.
+    """
     if base is not None:
         return result.Ok(base)
     head = await versions.read_head(platform, mesh)
-    return head.map(lambda found: found.revision if found else 0)
+    taken = head.map(lambda found: found.revision if found else 0)
+    if isinstance(taken, result.Ok) and not as_json:
+        click.echo(
+            f'no --base given: takes version {taken.ok_value}, which is in '
+            'force now',
+            err=True,
+        )
+    return taken
 
 
 @functools.singledispatch
--- a/testing/test_operator_cli.py
+++ b/testing/test_operator_cli.py
@@ -154,6 +154,18 @@
     assert 'deadline_ms: 2500' in plain.output
 
 
+def test_an_accept_without_a_base_tells_which_one_it_takes(
+    run: Run, text: str
+) -> None:
+    """A text made on an older version replaced what came since in silence."""
+    base = data_of(run('accept', 'mesh.yaml', '--json'))['revision']
+    told = run('accept', 'changed.yaml').output
+    assert f'takes version {base}' in told
+    assert told.index('takes version') < told.index('accepted as version')
+    fixed = run('accept', 'mesh.yaml', '--base', str(base + 1)).output
+    assert 'takes version' not in fixed
+
+
 def test_of_two_operators_at_once_one_wins(
     store: str, mesh_name: str, text: str, tmp_path: pathlib.Path
 ) -> None:
