A target's own refusal is no attempt, and puts the target back

An ailing target that turns requests away kept its place in the choice, as only runs were judged. Ruled out: guards that overfill slots (exact counts).

--- a/src/peridotpost/decisions/attempts.py
+++ b/src/peridotpost/decisions/attempts.py
@@ -12,6 +12,11 @@
 - After a run, or what may have been one, only an idempotent request goes
   to another target, within the route's attempts, the time left and the
   fleet's budget of repeats.
+- A target's own refusal is no run, so it uses up none of the route's
+  attempts; it did arrive there, so the next try takes from the budget.
+  With one attempt a route, an ailing target that turns away half of what
+  it gets failed every second call of other targets, and each of those
+  failed the request that it was made for.
 - A refusal after a lost answer does not make the whole "not run".
 - A run whose host has fallen silent is given up for another target only
   if that other run may follow.  A busy host is silent for half a second
@@ -44,6 +49,7 @@
     """The dispatches of one request so far.
 
     :param arrivals: dispatches that reached a target.
+    :param runs: those that it ran, or may have run.
     :param lost: why an answer was lost; empty if none was.
     """
 
@@ -52,6 +58,7 @@
     deadline: float
     refusals: int = 0
     arrivals: int = 0
+    runs: int = 0
     lost: str = ''
 
     @property
@@ -72,6 +79,7 @@
         if isinstance(outcome, forwarding.Refused):
             return self._after_refusal(outcome, now, may_spend)
         self.arrivals += 1
+        self.runs += 1
         if isinstance(outcome, forwarding.Lost):
             self.lost = outcome.detail
             failed = True
@@ -87,7 +95,7 @@
         """Whether another run may follow the one under way."""
         return (
             self.idempotent
-            and self.arrivals + 1 < self.max_attempts
+            and self.runs + 1 < self.max_attempts
             and self.deadline - now >= MIN_REPEAT_S
         )
 
@@ -107,7 +115,7 @@
         return Step.AGAIN
 
     def _may_repeat(self, now: float, may_spend: Callable[[], bool]) -> bool:
-        if self.arrivals >= self.max_attempts:
+        if self.runs >= self.max_attempts:
             return False
         if self.deadline - now < MIN_REPEAT_S:
             return False
--- a/src/peridotpost/experiment/scenario.py
+++ b/src/peridotpost/experiment/scenario.py
@@ -77,7 +77,7 @@
 
     :param load: factor on all rates.
     :param ailing_share: of a service's targets that run `slower` times as
-        long; the service is `ailing`.
+        long and turn away `sheds` of what they get; the service is `ailing`.
     """
 
     start_s: NotNegative
@@ -86,6 +86,7 @@
     ailing: str = ''
     ailing_share: Share = 0.0
     slower: Positive = 1.0
+    sheds: Share = 0.0
 
 
 class Retries(_Strict, frozen=True):
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -263,6 +263,10 @@
         arrived = True
         if isinstance(outcome, forwarding.Refused):
             arrived = outcome.arrived
+            if arrived:
+                # The guard keeps within the slots, so a target that turns
+                # requests away is ailing.
+                candidate.note(True, now)
             if outcome.retry_after_s:
                 exchange.retry_after_s = outcome.retry_after_s
         elif isinstance(outcome, forwarding.Lost):
--- a/testing/test_experiment.py
+++ b/testing/test_experiment.py
@@ -225,3 +225,48 @@
     urgent, least = found['coin-settle'], found['kiosk-status']
     assert urgent.credit_share > 0.97
     assert least.credit_share < urgent.credit_share
+
+
+def test_calls_survive_a_target_that_turns_them_away() -> None:
+    """One of four targets turns half of its requests away for a while.
+
+    Calls of targets have one attempt.  Where a refusal used that up, every
+    eighth call failed, and with it the request that it was made for.
+    """
+    inner = {
+        'name': 'inner',
+        'service': 'inner',
+        'work_ms': 10,
+        'objective_ms': 100,
+        'deadline_ms': 300,
+        'max_attempts': 1,
+    }
+    outer = {
+        'name': 'outer',
+        'service': 'outer',
+        'per_s': 60,
+        'work_ms': 20,
+        'objective_ms': 200,
+        'deadline_ms': 500,
+        'max_attempts': 1,
+        'calls': [{'route': 'inner', 'times': 2}],
+    }
+    scenario = calm(
+        services=[
+            {'name': 'outer', 'per_zone': 2, 'slots': 6},
+            {'name': 'inner', 'per_zone': 2, 'slots': 6},
+        ],
+        routes=[outer, inner],
+        phases=[
+            {
+                'start_s': 1,
+                'end_s': 5,
+                'ailing': 'inner',
+                'ailing_share': 0.25,
+                'sheds': 0.5,
+            }
+        ],
+    )
+    found = play(scenario)
+    assert found.routes['inner'].repeats > 0
+    assert found.routes['outer'].credit_share > 0.97
