A daemon that stood still says so, with its own processor time

Soak: three requests at or by way of h1 were told up to 0.9 s more than was left. Its record: h1's daemon read nothing from 1483.35 to 1484.06 s and answered its watch late, while all other hosts went on; no fault was on it. Whether it was busy or had no processor could not be told (12 other processes were at work on 8 cores). Now its log tells, and the soak takes such a stall as a disruption only if the process itself used less than half of it.

--- a/src/peridotpost/border/loglines.py
+++ b/src/peridotpost/border/loglines.py
@@ -53,6 +53,9 @@
     wait_ms: int = 0
     run_ms: int = 0
     return_ms: int = 0
+    late_ms: int = 0
+    cpu_ms: int = 0
+    boot_s: float = 0.0
     left_out: int = 0
     dropped: int = 0
 
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -42,6 +42,9 @@
 END_SHARE = 0.88
 """Part of the grace after which the process ends whatever still runs."""
 POLL_S = 0.02
+STALL_S = 0.25
+"""A wake-up that comes so much late is told: peers take this daemon for
+silent after ``peers.SILENCE_S`` and ``peers.SUSPECT_S``."""
 COUNTS_S = 10.0
 """Pause between log lines with all counters: some 100 bytes a second, for
 those who have the logs only."""
@@ -298,11 +301,31 @@
 
     async def _sweep_peers(self) -> None:
         while not tasks.cancelled():
+            before, cpu_s = deadlines.now(), time.process_time()
             await asyncio.sleep(peers.SWEEP_S)
+            self._tell_stall(before, cpu_s)
             self.directory.sweep()
             if self.feed.reachable is False:
                 self._ask_peers()
 
+    def _tell_stall(self, before: float, cpu_s: float) -> None:
+        """Log when this process stood still.
+
+        Everything here is late then, and looks like a fault of others.
+        Its own processor time in that while tells whether it was busy
+        itself or got no processor.
+        """
+        now = deadlines.now()
+        late_s = now - before - peers.SWEEP_S
+        if late_s > STALL_S:
+            self.counts.add('stalls')
+            self.log.state(
+                'stalled',
+                late_ms=round(late_s * 1000),
+                cpu_ms=round((time.process_time() - cpu_s) * 1000),
+                boot_s=round(now, 3),
+            )
+
     async def _follow(self) -> None:
         """Tell slow neighbours of the store, or read it in their place."""
         while not tasks.cancelled():
--- a/src/peridotpost/reports/story.py
+++ b/src/peridotpost/reports/story.py
@@ -22,6 +22,7 @@
         'target',
         'crash',
         'settings',
+        'stalled',
     }
 )
 CAUSES = {
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -1,6 +1,7 @@
 """One run of the soak, from its seed to its verdict."""
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import itertools
@@ -29,6 +30,9 @@
 """Availability zone and service of each host."""
 CALLERS_PER_HOST = 3
 WARM_UP_S = 3.0
+OWN_WORK_SHARE = 0.5
+"""A stall with more processor time of its own than this part of it is the
+daemon's own doing."""
 TICK_S, STALL_S = 0.05, 0.25
 """The soak looks at its own clock so often; where it wakes later than by
 ``STALL_S``, the machine gave it no processor, nor can it have given any to
@@ -77,11 +81,31 @@
         await _play(seed, drawn, world)
     for host in fleet.values():
         host.read_notes()
+        seen.disruptions += _stalls(host)
     verdict = _judge(seed, drawn, seen, folder)
     _write(verdict, seen, drawn, folder)
     return verdict
 
 
+def _stalls(host: hosts.Host) -> Iterator[records.Disruption]:
+    """Yield when a daemon got no processor, by its own account.
+
+    One that was busy itself all the while is no disruption but a fault.
+    """
+    boot_offset_s = time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    path = host.place.folder / f'{host.place.name}.log'
+    for line in path.read_text().splitlines():
+        if '"event":"stalled"' not in line:
+            continue
+        told = json.loads(line)
+        if told['cpu_ms'] > OWN_WORK_SHARE * told['late_ms']:
+            continue
+        end = told['boot_s'] - boot_offset_s
+        yield records.Disruption(
+            end - told['late_ms'] / 1000, end, host.place.name, 'no processor'
+        )
+
+
 def _places(names: list[str], folder: pathlib.Path) -> list[hosts.Place]:
     return [
         hosts.Place(name, network(), number, zone, service, folder)
