--- a/src/peridotpost/calls/connections.py
+++ b/src/peridotpost/calls/connections.py
@@ -5,7 +5,6 @@
 a connection for each request.
 """
 
-import asyncio
 import collections
 from collections.abc import Collection
 import dataclasses
@@ -16,6 +15,7 @@
 from tornado import iostream
 
 from peridotpost.kernel import counters
+from peridotpost.kernel import dialling
 from peridotpost.model import calls
 
 IDLE_S = 20.0
@@ -262,10 +262,7 @@
         try:
             stream = await self._connect(port)
         except ConnectFailed as error:
-            cause = error.__cause__
-            if isinstance(cause, iostream.StreamClosedError):
-                cause = cause.real_error
-            return isinstance(cause, ConnectionRefusedError)
+            return isinstance(error.__cause__, ConnectionRefusedError)
         stream.close()
         return False
 
@@ -281,32 +278,10 @@
         return None
 
     async def _connect(self, port: int) -> iostream.IOStream:
-        """Open a connection without a resolver and its threads.
-
-        An address needs none, and a busy process may not get a turn of
-        the thread for over a second.  The kernel accepts on loopback at
-        once, so a connection that is open counts also when this process
-        stood still past the limit; judged by the timer alone, a target
-        that listens would be withdrawn as gone.
-
-        :raises ConnectFailed: refused, or not open within ``CONNECT_S``.
-        """
-        plain = socket.socket()
-        plain.setblocking(False)
-        stream = iostream.IOStream(plain)
-        opening = asyncio.ensure_future(stream.connect((LOOPBACK, port)))
         try:
-            await asyncio.wait({opening}, timeout=CONNECT_S)
-            if not opening.done():
-                raise ConnectFailed(f'not open within {CONNECT_S} s')
-            opening.result()
-        except iostream.StreamClosedError as error:
+            stream = await dialling.open_stream(LOOPBACK, port, CONNECT_S)
+        except OSError as error:
             raise ConnectFailed(str(error)) from error
-        except BaseException:
-            opening.cancel()
-            stream.close()
-            raise
-        stream.set_nodelay(True)
         self.counts.add('connection.opened')
         return stream
 
--- a/src/peridotpost/calls/peers.py
+++ b/src/peridotpost/calls/peers.py
@@ -11,10 +11,10 @@
 import itertools
 
 from tornado import iostream
-from tornado import tcpclient
 
 from peridotpost.calls import frames
 from peridotpost.kernel import counters
+from peridotpost.kernel import dialling
 from peridotpost.kernel import hooks
 from peridotpost.model import calls
 from peridotpost.model import errors
@@ -78,11 +78,7 @@
         :raises OSError: it cannot be opened; nothing was sent.
         :raises TimeoutError: nor within ``CONNECT_S``.
         """
-        client = tcpclient.TCPClient()
-        stream = await asyncio.wait_for(
-            client.connect(address, port), CONNECT_S
-        )
-        stream.set_nodelay(True)
+        stream = await dialling.open_stream(address, port, CONNECT_S)
         self.stream = stream
         self.reading = asyncio.ensure_future(self._read(stream))
 
--- a/testing/test_target_contract.py
+++ b/testing/test_target_contract.py
@@ -14,6 +14,7 @@
 
 from peridotpost.calls import connections
 from peridotpost.kernel import counters
+from peridotpost.kernel import dialling
 from peridotpost.model import members
 from testing import callpath
 
@@ -456,3 +457,12 @@
         time.sleep(2 * connections.CONNECT_S)
         stream = await opening
         stream.close()
+
+
+async def test_a_name_is_looked_up_and_a_closed_port_refuses() -> None:
+    with socket.create_server(('127.0.0.1', 0)) as listening:
+        port = listening.getsockname()[1]
+        stream = await dialling.open_stream('localhost', port, 5.0)
+        stream.close()
+    with pytest.raises(ConnectionRefusedError):
+        await dialling.open_stream('127.0.0.1', port, 5.0)
