--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 
 import click
@@ -25,6 +26,10 @@
     seeds: tuple[int, ...], fresh: int, seconds: float, folder: pathlib.Path
 ) -> None:
     """Run the programs under faults; exit with 1 if a promise broke."""
+    # Whoever ends the soak ends its processes with it; a shell that starts
+    # it in the background has set SIGINT to be ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     dice = random.SystemRandom()
     drawn = [*seeds, *(dice.randrange(10**9) for _ in range(fresh))]
     failed = 0
