--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -78,7 +78,7 @@
     async def _one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        run = await _read(reader)
+        run = await self._read(reader, writer)
         if writer in self.forgotten:
             writer.transport.abort()
             return False
@@ -108,6 +108,24 @@
         finally:
             self.running -= 1
 
+    async def _read(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> Run:
+        """Read a request; one whose path ends in `early` is answered first.
+
+        Its body is read only after that, as a target does that knows by
+        the head what it will say.
+        """
+        run = await _read_head(reader)
+        early = run.target.endswith('/early')
+        if early:
+            writer.write(self.answer(run))
+            await writer.drain()
+            await self.release.wait()
+        length = int(run.headers.get('content-length', 0))
+        run.body = await reader.readexactly(length)
+        return run
+
     def answer(self, run: Run, body: bytes = b'done') -> bytes:
         return (
             f'HTTP/1.1 200 OK\r\nX-Attempt-Id: {run.attempt}\r\n'
@@ -206,8 +224,19 @@
     return worker.answer(other, b'wrong') + worker.answer(run)
 
 
+async def _nothing_more(
+    worker: Worker,
+    run: Run,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> bool:
+    """Go on reading; the answer was sent before the body was read."""
+    return True
+
+
 ACTIONS: dict[str, Action] = {
     'ok': _ok,
+    'early': _nothing_more,
     'hold': _hold,
     'reset': _reset,
     'crash': _crash,
@@ -235,16 +264,13 @@
 }
 
 
-async def _read(reader: asyncio.StreamReader) -> Run:
+async def _read_head(reader: asyncio.StreamReader) -> Run:
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     first, *lines = head.split('\r\n')
     method, target, _ = first.split(' ')
     pairs = [line.partition(': ') for line in lines if line]
     headers = {name.lower(): value for name, _, value in pairs}
-    body = b''
-    if 'content-length' in headers:
-        body = await reader.readexactly(int(headers['content-length']))
-    return Run(method, target, headers, body)
+    return Run(method, target, headers, b'')
 
 
 @contextlib.asynccontextmanager
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -57,6 +57,40 @@
                 assert answer.body == b'done'
 
 
+async def test_an_answer_before_the_body_is_read_spoils_nothing() -> None:
+    """A target answers a long write by its head alone and reads on later.
+
+    The rest of the body was still to be sent then.  Left out, or followed
+    by another request on that connection, it was read as part of the next
+    request.
+    """
+    bodies = {
+        f'w{number}': bytes([65 + number]) * 6_000_000 for number in (1, 2)
+    }
+    async with proxies.running() as mesh:
+        limits = {'maxBodyBytes': 8_000_000}
+        await mesh.kv.configure(proxies.config(limits=limits))
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.ready()
+        async with host.caller() as caller:
+            for attempt in bodies:
+                early = await caller.ask(
+                    '/write/early',
+                    method='POST',
+                    attempt=attempt,
+                    body=bodies[attempt],
+                )
+                assert early.status == 200
+                assert early.headers['x-attempt-id'] == attempt
+            host.worker.release.set()
+            after = await caller.ask('/read/ok', attempt='r1')
+            assert after.headers['x-attempt-id'] == 'r1'
+        await proxies.until(lambda: 'r1' in host.worker.attempts())
+        for run in host.worker.runs:
+            assert run.body in (b'', bodies.get(run.attempt))
+
+
 async def test_a_replaced_target_at_the_address_runs_nothing() -> None:
     """A target ends without a word and its address serves another one.
     Requests for the first reach the second, which refuses them since they
