--- a/testing/test_experiment.py
+++ b/testing/test_experiment.py
@@ -270,3 +270,29 @@
     found = play(scenario)
     assert found.routes['inner'].repeats > 0
     assert found.routes['outer'].credit_share > 0.97
+
+
+def test_a_fleet_of_the_size_designed_for_is_played() -> None:
+    """5,214 hosts: 158 services with three targets in each of 11 zones."""
+    names = [f's{number}' for number in range(158)]
+    scenario = calm(
+        zones=11,
+        seconds=1,
+        services=[{'name': name, 'per_zone': 3, 'slots': 6} for name in names],
+        routes=[
+            {
+                'name': f'to-{name}',
+                'service': name,
+                'per_s': 8,
+                'work_ms': 40,
+                'objective_ms': 200,
+                'deadline_ms': 800,
+            }
+            for name in names
+        ],
+    )
+    found = play(scenario)
+    assert found.hosts == 5214
+    assert found.credit_share > 0.99
+    crossings = sum(one.crossings for one in found.routes.values())
+    assert crossings == 0
