Slow links wait for their followers when the store is back

While the store is out nobody is heard to follow it, so in the moment of its return every daemon with a slow link read 400 KB itself, 0.6 s and more of 2.5 to 5 Mbit/s.

--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -11,6 +11,11 @@
 ``READ_EVERY_S``: a zone without fast links, or whose fast ones are cut off
 from the store, is as current as its own reads are.
 
+While the store is out nobody follows it, so nobody is heard of.  When it
+comes back, the fast ones are heard of within a beat, and a daemon with a
+slow link waits for that: reading at once, all of them would fill their
+links for a second with what a difference of some hundred bytes brings.
+
 Grounds: followers are heard of every ``BEAT_S``, so two beats may be lost;
 two seconds of silence and a read still are within the time in which a
 daemon that lost its peers has to be current again.
@@ -30,11 +35,15 @@
     """What decides for one daemon.
 
     :param heard_at: when one that follows the store was last heard of.
+    :param answers: whether the store answers this daemon.
+    :param since: from when on it does.
     """
 
     link_mbps: float
     heard_at: float
     read_at: float = 0.0
+    answers: bool = True
+    since: float = 0.0
 
     @property
     def slow(self) -> bool:
@@ -43,9 +52,18 @@
     def heard(self, now: float) -> None:
         self.heard_at = now
 
+    def store_answers(self, answers: bool, now: float) -> None:
+        """Note whether the store answers this daemon."""
+        if answers and not self.answers:
+            self.since = now
+        self.answers = answers
+
     def reads_now(self, now: float) -> bool:
         """Whether a daemon with a slow link is to read the store now."""
-        if now - self.heard_at < HEARD_S or now - self.read_at < READ_EVERY_S:
+        if not self.answers:
+            return False
+        heard_at = max(self.heard_at, self.since)
+        if now - heard_at < HEARD_S or now - self.read_at < READ_EVERY_S:
             return False
         self.read_at = now
         return True
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -290,6 +290,7 @@
         if reachable == self.reachable:
             return
         self.reachable = reachable
+        self.versions.following.store_answers(reachable, deadlines.now())
         self.versions.follows = reachable and not self.versions.following.slow
         to = 'reachable' if reachable else 'unreachable'
         self.log.state('store', to=to, error=error)
--- /dev/null
+++ b/testing/test_following.py
@@ -0,0 +1,55 @@
+"""Who reads the configuration from the store, and when."""
+
+from peridotpost.decisions import following
+
+BEAT_S = following.BEAT_S
+
+
+def slow(now: float = 0.0) -> following.Following:
+    return following.Following(link_mbps=5.0, heard_at=now)
+
+
+def reads(one: following.Following, start: float, end: float) -> list[float]:
+    """Return when `one` reads, asked each beat from `start` to `end`."""
+    beats = int((end - start) / BEAT_S) + 1
+    asked = [start + beat * BEAT_S for beat in range(beats)]
+    return [now for now in asked if one.reads_now(now)]
+
+
+def test_a_slow_link_reads_only_when_nobody_is_heard_of() -> None:
+    one = slow()
+    assert not reads(one, 0.0, following.HEARD_S - BEAT_S)
+    first, second, *_ = reads(one, following.HEARD_S, 10.0)
+    assert second - first >= following.READ_EVERY_S
+    one.heard(20.0)
+    assert not reads(one, 20.0, 20.0 + following.HEARD_S - BEAT_S)
+
+
+def test_after_an_outage_slow_links_wait_for_those_that_follow() -> None:
+    """The store was out for eight seconds, so nobody followed it.
+
+    In the moment of its return all hosts with slow links read 400 KB,
+    which filled their links for a second: pings stayed unanswered, and
+    what they ran was given up.  The others are heard of within a beat.
+    """
+    one = slow()
+    one.store_answers(False, 1.0)
+    assert not reads(one, 1.0, 9.0)
+    one.store_answers(True, 9.0)
+    assert not reads(one, 9.0, 9.0 + BEAT_S)
+    one.heard(9.0 + BEAT_S)
+    assert not reads(one, 9.0 + BEAT_S, 9.0 + following.HEARD_S)
+
+
+def test_a_zone_whose_fast_links_stay_away_reads_for_itself() -> None:
+    one = slow()
+    one.store_answers(False, 1.0)
+    one.store_answers(True, 9.0)
+    read_at, *_ = reads(one, 9.0, 15.0)
+    assert read_at - 9.0 <= following.HEARD_S + BEAT_S
+
+
+def test_an_answer_in_the_middle_changes_nothing() -> None:
+    one = slow()
+    one.store_answers(True, 5.0)
+    assert one.reads_now(5.0)
