--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -213,6 +213,7 @@
         started = deadlines.now()
         end = started + END_SHARE * self.settings.shutdown.grace_s
         self.stopping = True
+        self.directory.leaving = True
         self.log.state('stage', to='leaving', in_flight=self._in_flight())
         await asyncio.sleep(GUARD_STOPS_S)
         self.guard.stop_taking()
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -74,6 +74,7 @@
         self.accepted: set[peers.PeerStream] = set()
         self.version = 0
         self.slow = False
+        self.leaving = False
         self.noticed: hooks.Hook[Notice] = hooks.Hook('notice')
         self.met_hook: hooks.Hook[peers.PeerStream] = hooks.Hook('met')
         self.own_candidate = selection.Candidate(
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -43,6 +43,7 @@
 
     version: int
     counts: counters.Counters
+    leaving: bool
 
     def hello(self, compressed: bool) -> frames.Hello:
         """Return what is told first."""
@@ -326,8 +327,16 @@
             order.settle(outcome)
 
     def check(self, now: float) -> None:
-        """Ping a silent stream, give up one that stays silent."""
+        """Ping a silent stream, give up one that stays silent.
+
+        A daemon that is leaving waits for what it has sent as long as the
+        deadlines allow.  Its callers have nobody else to ask on their
+        connections, and most silent peers are only busy: given up, a run
+        that would have been answered is cut, and its caller gets 502.
+        """
         if self.pinged_at:
+            if self.owner.leaving and self.sent:
+                return
             silent_s = now - self.pinged_at
             if silent_s > DEAD_S:
                 self.close()
--- a/testing/test_peer_streams.py
+++ b/testing/test_peer_streams.py
@@ -133,3 +133,25 @@
         stream.check(deadlines.now() + peers.SILENCE_S * 1.1)
         stream.check(stream.pinged_at + peers.SUSPECT_S * 1.1)
         assert not outcomes
+
+
+async def test_a_leaving_daemon_waits_for_silent_peers() -> None:
+    """A daemon was told to stop; a peer is busy and silent for a second.
+
+    The reads at that peer were given up, and one that could not be served
+    elsewhere in time ended with 502 though its target was at work on it.
+    """
+    async with proxies.pair() as (_, first, _second):
+        stream = first.proxy.directory.peers['b'].stream
+        assert stream is not None and stream.transport is not None
+        stream.transport.pause_reading()
+        first.proxy.directory.leaving = True
+        outcomes: dict[str, forwarding.Outcome] = {}
+        for name, idempotent in (('read', True), ('write', False)):
+            stream.dispatch(_order(name, idempotent, outcomes))
+        stream.check(deadlines.now() + peers.SILENCE_S * 1.1)
+        assert stream.pinged_at
+        stream.check(stream.pinged_at + peers.SUSPECT_S * 1.1)
+        stream.check(stream.pinged_at + peers.DEAD_S * 1.1)
+        assert not outcomes
+        assert not stream.transport.is_closing()
