A reload during the start does not end the process

Soak: h1 ended with code -1, by SIGHUP: it was told to reload while it loaded its modules, a quarter of a second in which nothing handled the signal. The test sends it while the settings are read from a pipe: ended before, exit code 0 now. Left: the start of the interpreter itself, before any line of ours.

--- a/testing/test_proxy_settings.py
+++ b/testing/test_proxy_settings.py
@@ -1,14 +1,18 @@
 """Settings are checked whole before anything is opened."""
 
 import json
+import os
 import pathlib
+import signal
+import subprocess
+import sys
 from typing import Any
 
 from click import testing
 import pytest
 
 from peridotpost.border import proxy as border
-from peridotpost.cli import proxy
+from peridotpost.cli import proxy_command
 
 GOOD: dict[str, Any] = {
     'host': 'a-1',
@@ -78,7 +82,27 @@
 ) -> None:
     path = written(tmp_path, raw)
     run = testing.CliRunner().invoke(
-        proxy.main, ['--settings', str(path), '--check']
+        proxy_command.main, ['--settings', str(path), '--check']
     )
     assert run.exit_code == code
     assert str(path) in run.output
+
+
+@pytest.mark.processes
+def test_a_reload_during_the_start_does_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """All hosts are told to reload while one of them starts again.
+
+    Nothing handled the signal there yet, and its process ended.  The
+    settings come through a pipe here, so that the signal arrives while
+    they are being read.
+    """
+    path = tmp_path / 'settings'
+    os.mkfifo(path)
+    command = [sys.executable, '-m', 'peridotpost.cli.proxy', '--check']
+    with subprocess.Popen([*command, '--settings', str(path)]) as started:
+        with path.open('w') as pipe:
+            started.send_signal(signal.SIGHUP)
+            pipe.write(json.dumps(GOOD))
+        assert started.wait(timeout=60) == 0
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -198,6 +198,8 @@
         # The store fell silent; the watches sent meanwhile were lost, and
         # new versions were in force seconds late on all hosts.
         pytest.param(382471730, 20.0, id='watches lost in an outage'),
+        # A daemon was told to reload while it started, and ended.
+        pytest.param(180368104, 20.0, id='reload during a start'),
     ],
 )
 def test_the_programs_keep_their_promises_under_faults(
