--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import functools
 import signal
@@ -69,6 +70,15 @@
             )
 
 
+async def _paused(
+    send: Callable[[signal.Signals], None], seconds: float
+) -> None:
+    """Have a process stand still."""
+    send(signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    send(signal.SIGCONT)
+
+
 @functools.singledispatch
 async def inject(fault: plan.Fault, world: World) -> None:
     """Put one fault in, wait, heal it."""
@@ -112,9 +122,7 @@
         planned = fault.how == 'stop'
         async with world.disrupting(fault.host, fault.how, planned):
             if fault.how == 'pause':
-                host.signal_daemon(signal.SIGSTOP)
-                await asyncio.sleep(fault.lasts_s)
-                host.signal_daemon(signal.SIGCONT)
+                await _paused(host.signal_daemon, fault.lasts_s)
                 return
             how = signal.SIGTERM if planned else signal.SIGKILL
             await host.end_daemon(how)
@@ -129,9 +137,7 @@
     async with world.only_one(f'{fault.host} target'):
         async with world.disrupting(fault.host, f'target {fault.how}'):
             if fault.how == 'pause':
-                host.signal_target(signal.SIGSTOP)
-                await asyncio.sleep(fault.lasts_s)
-                host.signal_target(signal.SIGCONT)
+                await _paused(host.signal_target, fault.lasts_s)
                 return
             drains = fault.how == 'drain'
             how = signal.SIGTERM if drains else signal.SIGKILL
--- a/testing/soak/hosts.py
+++ b/testing/soak/hosts.py
@@ -123,10 +123,12 @@
             await _end(self.target, how)
 
     def signal_daemon(self, how: signal.Signals) -> None:
+        """Signal the daemon, unless it has ended."""
         if self.daemon is not None and self.daemon.returncode is None:
             self.daemon.send_signal(how)
 
     def signal_target(self, how: signal.Signals) -> None:
+        """Signal the target, unless it has ended."""
         if self.target is not None and self.target.returncode is None:
             self.target.send_signal(how)
 
