Tests wait for conditions by turns of the loop, not by pauses

The stall of a connecting process ends when the kernel has accepted, and the stall that a daemon tells is given to it. processes.wait stays: the pages of another process offer no event; its pause bounds no verdict. Found beside: three copies of the same poll.

--- a/testing/callpath.py
+++ b/testing/callpath.py
@@ -359,11 +359,3 @@
         writer.close()
         with contextlib.suppress(OSError):
             await writer.wait_closed()
-
-
-async def until(holds: Callable[[], bool], what: str) -> None:
-    """Wait until `holds`, bounded."""
-    end = asyncio.get_running_loop().time() + WAIT_S
-    while not holds():
-        assert asyncio.get_running_loop().time() < end, what
-        await asyncio.sleep(0.005)
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -15,9 +15,11 @@
 from peridotpost.kernel import counters
 from peridotpost.standins import platform as platform_standin
 from peridotpost.store import etcd
+from testing import conditions
 from testing import processes
 
 SEED = 20261202
+asyncio.set_event_loop_policy(conditions.TurnPolicy())
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 
 
--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Callable
 import contextlib
 import dataclasses
 import json
@@ -16,6 +15,7 @@
 from peridotpost.kernel import lines
 from peridotpost.mesh import daemon
 from peridotpost.platform import assembly
+from testing import conditions
 from testing.standins import kv as kv_standin
 from testing.standins import worker as worker_standin
 
@@ -216,7 +216,7 @@
             if one.settings.service == service
         )
         for host in hosts:
-            await until(
+            await conditions.until(
                 lambda host=host: (  # type: ignore[misc]
                     host.proxy.forwarder.config is not None
                     and sum(
@@ -228,16 +228,6 @@
             )
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    """Wait for a condition that offers no event, turn by turn."""
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(PATIENCE_S):
-        while not condition():
-            turn = loop.create_future()
-            loop.call_later(0.002, turn.set_result, None)
-            await turn
-
-
 def _settings(
     name: str,
     address: str,
--- a/testing/test_bench_bounds.py
+++ b/testing/test_bench_bounds.py
@@ -36,6 +36,7 @@
 from peridotpost.model import members
 from peridotpost.store import etcd
 from peridotpost.store import versions
+from testing import conditions
 from testing import conftest
 from testing import fleets as nodes
 
@@ -236,7 +237,9 @@
                 )
                 following.append(source)
                 source.follow_place(tree.Place(True, True, ()))
-            await _until(lambda: under.platform.counts['watching'] == relays)
+            await conditions.until(
+                lambda: under.platform.counts['watching'] == relays
+            )
             before = dict(under.platform.counts)
             head = await _accept(under.store, text, 0)
             for _ in range(relays):
@@ -269,14 +272,6 @@
     return tell
 
 
-async def _until(holds: Callable[[], bool]) -> None:
-    async def poll() -> None:
-        while not holds():
-            await asyncio.sleep(0.005)
-
-    await asyncio.wait_for(poll(), 30)
-
-
 async def _accept(store: Any, text: str, base: int) -> int:
     proposed = versions.Accepted(0, 0, 'w1', 'o', '', 0.0, base, text)
     won = await versions.accept(store, 'measured', proposed, asyncio.sleep)
--- a/testing/test_call_invariants.py
+++ b/testing/test_call_invariants.py
@@ -13,6 +13,7 @@
 import pytest
 
 from testing import callpath
+from testing import conditions
 
 CALLS = 250
 SHED = b'HTTP/1.1 503 Full\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n'
@@ -104,7 +105,7 @@
             )
         )
         for node in nodes:
-            await callpath.until(
+            await conditions.until(
                 lambda: node.guard.in_flight == 0,
                 'all ended',
             )
--- a/testing/test_caller_contract.py
+++ b/testing/test_caller_contract.py
@@ -11,6 +11,7 @@
 from peridotpost.calls import requests
 from peridotpost.standins import target as standin
 from testing import callpath
+from testing import conditions
 
 BAD_NUMBER = 'a' * 5
 ENDLESS_NUMBER = '9' * 5000
@@ -362,9 +363,9 @@
                     'Peridot-Timeout-Ms: 3000',
                 )
             )
-            await callpath.until(lambda: target.running == 1, 'it runs')
-        await callpath.until(lambda: target.running == 0, 'it ended')
-        await callpath.until(lambda: host.guard.in_flight == 0, 'it is free')
+            await conditions.until(lambda: target.running == 1, 'it runs')
+        await conditions.until(lambda: target.running == 0, 'it ended')
+        await conditions.until(lambda: host.guard.in_flight == 0, 'it is free')
         # It ended because its caller had gone, not by its deadline.
         assert host.counts.totals['guard.deadline'] == 0
         assert target.counts['cancelled'] == cancelled
@@ -389,7 +390,7 @@
                         'read', 'GET', '/', b'', 'Standin-Work-Ms: 150'
                     )
                 )
-                await callpath.until(
+                await conditions.until(
                     lambda: (
                         sum(one.gate.waiting for one in gates.values())
                         == number
@@ -397,7 +398,7 @@
                     'it waits',
                 )
             callers[1].writer.close()
-            await callpath.until(
+            await conditions.until(
                 lambda: next(iter(gates.values())).gate.waiting == 1, 'gone'
             )
             assert (await callers[0].reply()).status == 200
@@ -436,16 +437,16 @@
             body = b'x' * 1000
             raw = callpath.request('read', 'PUT', '/', body)
             await gone.send(raw[:-500])
-            await callpath.until(lambda: held(node) == 500, 'held')
+            await conditions.until(lambda: held(node) == 500, 'held')
             await first.send(raw[:-1])
-            await callpath.until(lambda: held(node) == 1499, 'held')
+            await conditions.until(lambda: held(node) == 1499, 'held')
             reply = await second.ask('read', 'PUT', '/', body)
             assert (reply.status, reply.word) == (503, 'not-run')
             assert reply.header('Retry-After') == '1'
             gone.writer.close()
             await first.send(raw[-1:])
             assert (await first.reply()).status == 200
-            await callpath.until(lambda: held(node) == 0, 'given back')
+            await conditions.until(lambda: held(node) == 0, 'given back')
         assert target.counts['ran'] == 1
 
 
--- a/testing/test_distribution_cuts.py
+++ b/testing/test_distribution_cuts.py
@@ -7,6 +7,7 @@
 from peridotpost.decisions import progress
 from peridotpost.decisions import tree
 from peridotpost.distribution import links
+from testing import conditions
 from testing import zones as zoned
 
 ZONE = 'hel-a'
@@ -61,7 +62,7 @@
             assert 'bond-status' in zones.replica(host).table.routes
         zones.heal()
         await zones.until_in_force(newest)
-        await zones.until(zones.agree, 'all hold the same fleet')
+        await conditions.until(zones.agree, 'all hold the same fleet')
 
 
 async def test_version_goes_round_a_cut_by_a_third_zone(
@@ -87,7 +88,7 @@
         for zone in zones.mesh.availability_zones:
             hosts = [host for host in zones.daemons if zone in host]
             root = zones.links(tree.relays_of(zone, hosts)[0])
-            await zones.until(
+            await conditions.until(
                 functools.partial(has_all, root, revision, hosts),
                 f'{zone} has {revision} in force',
             )
@@ -115,7 +116,7 @@
         await zones.until_in_force(await zones.accept('first', ZONE))
         assert 'new-there' not in zones.replica('new-here').fleet.records
         zones.heal()
-        await zones.until(zones.agree, 'all hold the same fleet')
+        await conditions.until(zones.agree, 'all hold the same fleet')
         assert 'new-there' in zones.replica('new-here').fleet.records
 
 
--- a/testing/test_peer_contract.py
+++ b/testing/test_peer_contract.py
@@ -14,6 +14,7 @@
 from peridotpost.model import calls
 from peridotpost.model import members
 from testing import callpath
+from testing import conditions
 
 HEADER = frames.LENGTH
 
@@ -194,7 +195,7 @@
 
         replies = await asyncio.gather(*(ask(path) for path in paths))
         assert [one.body.decode() for one in replies] == list(paths)
-        await callpath.until(
+        await conditions.until(
             lambda: front.counts.totals['peer.late'] == 2, 'both dropped'
         )
 
@@ -343,7 +344,7 @@
                     'read', 'GET', '/', b'', 'Standin-Work-Ms: 60000'
                 )
             )
-            await callpath.until(lambda: target.running == 1, 'it runs')
+            await conditions.until(lambda: target.running == 1, 'it runs')
             await fast.ask('read')
         (endpoint,) = front.replica.table.routes['read'].endpoints
         report = front.router.book.reports[choice.key_of(endpoint)]
--- a/testing/test_peer_streams.py
+++ b/testing/test_peer_streams.py
@@ -6,6 +6,7 @@
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import frames
 from peridotpost.proxy import peers
+from testing import conditions
 from testing import proxies
 
 
@@ -37,7 +38,7 @@
             frames.Cancel(901)
         )
         stream.data_received(batch + frames.encode(dispatch(902)))
-        await proxies.until(lambda: not stream.received)
+        await conditions.until(lambda: not stream.received)
         assert first.worker.attempts() == ['d902']
 
 
@@ -59,9 +60,9 @@
         assert isinstance(outcomes.pop('read'), forwarding.Lost)
         assert not outcomes
         stream.check(stream.pinged_at + peers.DEAD_S * 1.1)
-        await proxies.until(lambda: 'write' in outcomes)
+        await conditions.until(lambda: 'write' in outcomes)
         assert isinstance(outcomes['write'], forwarding.Lost)
-        await proxies.until(
+        await conditions.until(
             lambda: first.proxy.directory.peers['b'].candidate.ready
         )
 
@@ -107,7 +108,7 @@
             record.incarnation + 1,
         )
         first.proxy.directory.learn(newer, recorded=True)
-        await proxies.until(
+        await conditions.until(
             lambda: peer.stream is not None and peer.stream is not before
         )
         await asyncio.sleep(0)
--- a/testing/test_proxy_callers.py
+++ b/testing/test_proxy_callers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from testing import conditions
 from testing import proxies
 
 HOST = f'Host: {proxies.HOST}\r\n'.encode()
@@ -132,7 +133,7 @@
         await host.announce()
         await mesh.ready()
         running = asyncio.ensure_future(host.ask('/read/hold', attempt='h1'))
-        await proxies.until(lambda: len(host.worker.runs) == 1)
+        await conditions.until(lambda: len(host.worker.runs) == 1)
         host.proxy.guard.queue.mean_s = 10.0
         refused = await host.ask('/read/ok', attempt='h2')
         assert refused.status == 503
@@ -152,7 +153,7 @@
         await host.announce()
         await mesh.ready()
         assert (await host.ask('/read/hold')).status == 504
-        await proxies.until(lambda: bool(host.worker.dropped))
+        await conditions.until(lambda: bool(host.worker.dropped))
 
 
 async def test_an_instance_of_another_host_is_reached_by_its_guard() -> None:
--- a/testing/test_proxy_leaving.py
+++ b/testing/test_proxy_leaving.py
@@ -6,6 +6,7 @@
 
 from peridotpost.decisions import incarnations
 from peridotpost.model import instances
+from testing import conditions
 from testing import proxies
 
 READY = instances.InstanceState.READY
@@ -91,7 +92,7 @@
             )
             for number in range(10)
         ]
-        await proxies.until(
+        await conditions.until(
             lambda: len(first.worker.runs) + len(second.worker.runs) == 8
         )
         assert await first.announce(state='draining') == 200
@@ -157,16 +158,16 @@
     monkeypatch.setattr('peridotpost.mesh.daemon.OUT_OF_ROTATION_S', 0.0)
     async with proxies.pair() as (_, first, second):
         await second.tell('instances.leave', 'i-b', b'')
-        await proxies.until(
+        await conditions.until(
             lambda: not second.proxy.directory.own_candidate.ready
         )
         here = asyncio.ensure_future(first.ask('/read/hold', attempt='h1'))
         there = asyncio.ensure_future(
             second.ask('/write/hold', method='POST', attempt='h2')
         )
-        await proxies.until(lambda: len(first.worker.runs) == 2)
+        await conditions.until(lambda: len(first.worker.runs) == 2)
         leaving = asyncio.ensure_future(first.proxy.leave())
-        await proxies.until(lambda: first.proxy.guard.leaving)
+        await conditions.until(lambda: first.proxy.guard.leaving)
         first.worker.release.set()
         answers = await asyncio.gather(here, there)
         await leaving
@@ -184,7 +185,7 @@
     monkeypatch.setattr('peridotpost.mesh.daemon.OUT_OF_ROTATION_S', 0.0)
     async with proxies.pair() as (_, first, _second):
         held = asyncio.ensure_future(first.ask('/read/hold'))
-        await proxies.until(lambda: first.proxy.requests.busy == 1)
+        await conditions.until(lambda: first.proxy.requests.busy == 1)
         async with first.caller() as idle:
             assert (await idle.ask('/read/ok')).status == 200
             leaving = asyncio.ensure_future(first.proxy.leave())
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -7,6 +7,7 @@
 from peridotpost.mesh import storefeed
 from peridotpost.model import errors
 from peridotpost.platform import store
+from testing import conditions
 from testing import proxies
 
 
@@ -28,10 +29,10 @@
 async def test_versions_never_go_back() -> None:
     async with proxies.pair() as (mesh, first, _second):
         await mesh.kv.configure(proxies.config(9))
-        await proxies.until(lambda: first.proxy.versions.version == 9)
+        await conditions.until(lambda: first.proxy.versions.version == 9)
         await mesh.kv.configure(proxies.config(3, routes=[]))
         await mesh.kv.configure(proxies.config(10))
-        await proxies.until(lambda: first.proxy.versions.version == 10)
+        await conditions.until(lambda: first.proxy.versions.version == 10)
         assert (await first.ask('/read/ok')).status == 200
 
 
@@ -50,7 +51,7 @@
     async with proxies.pair() as (mesh, first, _second):
         counts = first.proxy.counts
         await mesh.kv.configure(proxies.config(5) | spoil)
-        await proxies.until(lambda: counts.totals['config.bad'] > 0)
+        await conditions.until(lambda: counts.totals['config.bad'] > 0)
         assert (await first.ask('/read/ok')).status == 200
         assert first.proxy.versions.version == 1
 
@@ -69,10 +70,10 @@
         monkeypatch.setattr(first.proxy.adapter.feed, 'read_config', refused)
         # The watch that waits already brings one change more.
         await mesh.kv.configure(proxies.config(5))
-        await proxies.until(lambda: first.proxy.versions.version == 5)
+        await conditions.until(lambda: first.proxy.versions.version == 5)
         await mesh.kv.configure(proxies.config(7))
-        await proxies.until(lambda: second.proxy.versions.version == 7)
-        await proxies.until(lambda: first.proxy.versions.version == 7)
+        await conditions.until(lambda: second.proxy.versions.version == 7)
+        await conditions.until(lambda: first.proxy.versions.version == 7)
         assert first.proxy.counts.totals['config.fetched']
 
 
@@ -80,7 +81,7 @@
     async with proxies.pair() as (mesh, first, _second):
         await mesh.kv.compact()
         await mesh.kv.configure(proxies.config(4))
-        await proxies.until(lambda: first.proxy.versions.version == 4)
+        await conditions.until(lambda: first.proxy.versions.version == 4)
 
 
 async def test_a_lapsed_record_is_back_and_the_host_was_never_gone() -> None:
@@ -91,7 +92,7 @@
         key = 'peridotpost/hosts/b'
         written = mesh.kv.items[key].revision
         await mesh.kv.end_lease(mesh.kv.items[key].lease)
-        await proxies.until(
+        await conditions.until(
             lambda: (
                 key in mesh.kv.items and mesh.kv.items[key].revision > written
             )
@@ -107,7 +108,7 @@
         await mesh.kv.put('peridotpost/hosts/x', b'\xff\x00')
         await mesh.kv.put('peridotpost/hosts/y', b'{"host": 3}')
         await mesh.kv.configure(proxies.config(6))
-        await proxies.until(lambda: first.proxy.versions.version == 6)
+        await conditions.until(lambda: first.proxy.versions.version == 6)
         assert set(first.proxy.directory.peers) == {'b'}
 
 
@@ -128,8 +129,8 @@
         known = first.proxy.directory.peers['b']
         known.record = again.proxy.own
         assert again.proxy.own.incarnation >= record.incarnation
-        await proxies.until(lambda: again.proxy.versions.version == 1)
-        await proxies.until(
+        await conditions.until(lambda: again.proxy.versions.version == 1)
+        await conditions.until(
             lambda: (
                 'a' in again.proxy.directory.peers
                 and again.proxy.directory.peers['a'].candidate.ready
@@ -144,13 +145,15 @@
     async with proxies.running() as mesh:
         await mesh.kv.configure(proxies.config(1))
         fast = await mesh.add('fast')
-        await proxies.until(lambda: fast.proxy.versions.version == 1)
-        await proxies.until(lambda: bool(fast.proxy.feed.reachable))
+        await conditions.until(lambda: fast.proxy.versions.version == 1)
+        await conditions.until(lambda: bool(fast.proxy.feed.reachable))
         slow = await mesh.add('slow', link_mbps=5.0)
-        await proxies.until(lambda: slow.proxy.versions.version == 1)
+        await conditions.until(lambda: slow.proxy.versions.version == 1)
         for version in range(2, 6):
             await mesh.kv.configure(proxies.config(version))
-            await proxies.until(functools.partial(_has, [fast, slow], version))
+            await conditions.until(
+                functools.partial(_has, [fast, slow], version)
+            )
         assert slow.proxy.counts.totals['config.deltas'] >= 4
         assert slow.proxy.counts.totals['config.read'] == 0
 
@@ -167,7 +170,7 @@
         second = await mesh.add('b', link_mbps=5.0)
         for version in (1, 2):
             await mesh.kv.configure(proxies.config(version))
-            await proxies.until(
+            await conditions.until(
                 functools.partial(_has, [first, second], version)
             )
 
@@ -193,14 +196,14 @@
         mesh.kv.hang = True
         await mesh.kv.configure(proxies.config(2))
         for host in (first, second):
-            await proxies.until(
+            await conditions.until(
                 functools.partial(_counted, host, 'store.record-failed')
             )
-        await proxies.until(lambda: mesh.kv.waiting_watches() >= 2)
+        await conditions.until(lambda: mesh.kv.waiting_watches() >= 2)
         mesh.kv.hang = False
         await mesh.kv.configure(proxies.config(3))
         for host in (first, second):
-            await proxies.until(functools.partial(_is_in_force, host, 3))
+            await conditions.until(functools.partial(_is_in_force, host, 3))
 
 
 async def test_one_call_finds_out_when_the_store_is_back(
@@ -218,11 +221,11 @@
         mesh.kv.status = 503
         await mesh.kv.configure(proxies.config(2))
         for host in (first, second):
-            await proxies.until(
+            await conditions.until(
                 functools.partial(_counted, host, 'store.record-failed')
             )
         mesh.kv.calls.clear()
-        await proxies.until(lambda: len(mesh.kv.calls) > 100)
+        await conditions.until(lambda: len(mesh.kv.calls) > 100)
         reads = [
             path
             for path in mesh.kv.calls
@@ -232,7 +235,7 @@
         mesh.kv.status = 0
         await mesh.kv.configure(proxies.config(3))
         for host in (first, second):
-            await proxies.until(functools.partial(_is_in_force, host, 3))
+            await conditions.until(functools.partial(_is_in_force, host, 3))
 
 
 def _counted(host: proxies.Host, name: str) -> bool:
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from testing import conditions
 from testing import proxies
 
 
@@ -86,7 +87,7 @@
             host.worker.release.set()
             after = await caller.ask('/read/ok', attempt='r1')
             assert after.headers['x-attempt-id'] == 'r1'
-        await proxies.until(lambda: 'r1' in host.worker.attempts())
+        await conditions.until(lambda: 'r1' in host.worker.attempts())
         for run in host.worker.runs:
             assert run.body in (b'', bodies.get(run.attempt))
 
@@ -143,7 +144,7 @@
             asyncio.ensure_future(host.ask('/read/hold', attempt=f'h{number}'))
             for number in range(6)
         ]
-        await proxies.until(lambda: len(host.worker.runs) == 2)
+        await conditions.until(lambda: len(host.worker.runs) == 2)
         host.worker.release.set()
         answers = await asyncio.gather(*asked)
         assert {one.status for one in answers} <= {200, 503}
@@ -183,10 +184,10 @@
     async with proxies.pair() as (_, first, second):
         async with first.caller() as caller:
             caller.send('/read/hold')
-            await proxies.until(
+            await conditions.until(
                 lambda: bool(first.worker.runs or second.worker.runs)
             )
-        await proxies.until(
+        await conditions.until(
             lambda: bool(first.worker.dropped or second.worker.dropped)
         )
 
@@ -197,13 +198,13 @@
     async with proxies.pair() as (_, first, second):
         async with first.caller() as caller:
             caller.send('/write/hold', method='POST', body=b'x')
-            await proxies.until(
+            await conditions.until(
                 lambda: bool(first.worker.runs or second.worker.runs)
             )
-        await proxies.until(lambda: not first.proxy.forwarder.in_flight)
+        await conditions.until(lambda: not first.proxy.forwarder.in_flight)
         for host in (first, second):
             host.worker.release.set()
-            await proxies.until(functools.partial(_idle, host))
+            await conditions.until(functools.partial(_idle, host))
             assert not host.worker.dropped
 
 
@@ -224,7 +225,7 @@
             answer = await hosts[0].ask('/read/crash', attempt=f'c{number}')
             assert answer.status in (502, 503, 504)
             crashed = sum(one.worker.server is None for one in hosts)
-            await proxies.until(
+            await conditions.until(
                 lambda crashed=crashed: (  # type: ignore[misc]
                     sum(one.proxy.guard.down for one in hosts) == crashed
                 )
--- a/testing/test_stalls.py
+++ b/testing/test_stalls.py
@@ -4,6 +4,11 @@
 import pathlib
 import time
 
+import pytest
+
+from peridotpost.mesh import daemon
+from peridotpost.proxy import deadlines
+from testing import conditions
 from testing import proxies
 
 
@@ -19,13 +24,29 @@
         mesh.logs = tmp_path
         await mesh.kv.configure(proxies.config())
         host = await mesh.add('a')
-        await host.announce()
-        await mesh.ready()
-        time.sleep(0.6)
-        await proxies.until(lambda: host.proxy.counts.totals['stalls'] > 0)
+        # Whatever the sweep told before, on a machine that was busy.
+        totals = host.proxy.counts.totals
+        before = totals['stalls']
+        second_ago = deadlines.now() - 1.0
+        host.proxy._tell_stall(second_ago, time.process_time())
+        host.proxy._tell_stall(second_ago, time.process_time() - 0.9)
+        assert totals['stalls'] == before + 2
+        host.proxy._tell_stall(deadlines.now(), time.process_time())
+        assert totals['stalls'] == before + 2
     lines = (tmp_path / 'a.log').read_text().splitlines()
-    (told,) = [
+    told = [
         line for line in map(json.loads, lines) if line['event'] == 'stalled'
     ]
-    assert told['late_ms'] >= 250
-    assert told['cpu_ms'] < told['late_ms']
+    starved, busy = told[before : before + 2]
+    assert starved['late_ms'] >= 900 and busy['late_ms'] >= 900
+    assert starved['cpu_ms'] < 500 <= busy['cpu_ms']
+
+
+async def test_the_sweep_looks_for_stalls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(daemon, 'STALL_S', -1.0)
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a')
+        await conditions.until(lambda: host.proxy.counts.totals['stalls'] > 0)
--- a/testing/test_store_contract.py
+++ b/testing/test_store_contract.py
@@ -20,6 +20,7 @@
 from peridotpost.store import etcd
 from peridotpost.store import lines
 from peridotpost.store import store
+from testing import conditions
 from testing import fakes
 
 MEGABYTE = 1_048_576
@@ -505,9 +506,8 @@
             await write(bench, 'a', str(number).encode())
             assert (await anext(watching)).is_ok()
             await watching.aclose()
-        async with asyncio.timeout(WAIT_S):
-            while bench.behind.counts['watching']:
-                await asyncio.sleep(0.01)
+        counts = bench.behind.counts
+        await conditions.until(lambda: not counts['watching'], 'none waits')
 
 
 async def test_slow_service_times_out_and_a_watch_does_not_hold_up_calls() -> (
--- a/testing/test_target_contract.py
+++ b/testing/test_target_contract.py
@@ -8,7 +8,6 @@
 import contextlib
 import socket
 import threading
-import time
 
 import pytest
 
@@ -17,6 +16,7 @@
 from peridotpost.kernel import dialling
 from peridotpost.model import members
 from testing import callpath
+from testing import conditions
 
 Script = Callable[
     [callpath.Scripted, asyncio.StreamReader, asyncio.StreamWriter],
@@ -358,7 +358,7 @@
                 assert reply.body == bytes([body])
             kept = node.guard.pool.idle.get(target.port) or ()
             # The close, and the second answer, arrive a moment later.
-            await callpath.until(
+            await conditions.until(
                 lambda: (
                     not any(connections._is_clean(one.stream) for one in kept)
                 ),
@@ -448,15 +448,17 @@
     The kernel has accepted the connection meanwhile.  When the process
     runs again, the timer is due as well, and must not win.
     """
-    monkeypatch.setattr(connections, 'CONNECT_S', 0.05)
+    monkeypatch.setattr(connections, 'CONNECT_S', 1e-6)
     pool = connections.ConnectionPool(counters.Counters())
     with socket.create_server(('127.0.0.1', 0)) as listening:
         port = listening.getsockname()[1]
         opening = asyncio.ensure_future(pool._connect(port))
         await asyncio.sleep(0)
-        time.sleep(2 * connections.CONNECT_S)
+        # Stands still until the kernel has accepted.
+        accepted, _ = listening.accept()
         stream = await opening
         stream.close()
+        accepted.close()
 
 
 async def test_a_name_is_looked_up_and_a_closed_port_refuses() -> None:
--- a/testing/zones.py
+++ b/testing/zones.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Callable
 import contextlib
 import functools
 
@@ -30,9 +29,9 @@
 from peridotpost.standins import platform as platform_standin
 from peridotpost.store import etcd
 from peridotpost.store import versions
+from testing import conditions
 
 WAIT_S = 30.0
-POLL_S = 0.02
 RECONCILE_S = 0.5
 TIMING = settings_border.TimingSettings(
     probe_period_s=0.5,
@@ -217,18 +216,11 @@
 
     async def until_in_force(self, revision: int, *hosts: str) -> None:
         for host in hosts or self.daemons:
-            await self.until(
+            await conditions.until(
                 functools.partial(self.has_in_force, host, revision),
                 f'{revision} is in force on {host}',
             )
 
-    async def until(self, holds: Callable[[], bool], what: str) -> None:
-        loop = asyncio.get_running_loop()
-        end = loop.time() + WAIT_S
-        while not holds():
-            assert loop.time() < end, f'waited in vain until {what}'
-            await asyncio.sleep(POLL_S)
-
 
 @contextlib.asynccontextmanager
 async def running(text: str, hosts_per_zone: int = 2) -> AsyncIterator[Zones]:
@@ -244,7 +236,7 @@
         await asyncio.gather(*(zones.start(*name) for name in names))
         count = len(names)
         for host, _ in names:
-            await zones.until(
+            await conditions.until(
                 functools.partial(zones.knows, host, count),
                 f'{host} knows all others',
             )
