Guard, streams and ingress in smaller modules; one copy of what is known of the store

A line is built only where the log has room for it. Whether the store answers stood in three places and whether a daemon leaves in two; each has one now. No check changed; tests name the moved attributes.

--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -35,32 +35,38 @@
     """What decides for one daemon.
 
     :param heard_at: when one that follows the store was last heard of.
-    :param answers: whether the store answers this daemon.
-    :param since: from when on it does.
+    :param answers: whether the store answers this daemon; None until it
+        was asked.
+    :param since: from when on it does again.
     """
 
     link_mbps: float
     heard_at: float
     read_at: float = 0.0
-    answers: bool = True
+    answers: bool | None = None
     since: float = 0.0
 
     @property
     def slow(self) -> bool:
         return self.link_mbps < SLOW_LINK_MBPS
 
+    @property
+    def follows(self) -> bool:
+        """Whether this daemon reads the store for others, and reaches it."""
+        return self.answers is True and not self.slow
+
     def heard(self, now: float) -> None:
         self.heard_at = now
 
     def store_answers(self, answers: bool, now: float) -> None:
         """Note whether the store answers this daemon."""
-        if answers and not self.answers:
+        if answers and self.answers is False:
             self.since = now
         self.answers = answers
 
     def reads_now(self, now: float) -> bool:
         """Whether a daemon with a slow link is to read the store now."""
-        if not self.answers:
+        if self.answers is False:
             return False
         heard_at = max(self.heard_at, self.since)
         if now - heard_at < HEARD_S or now - self.read_at < READ_EVERY_S:
--- a/src/peridotpost/kernel/lines.py
+++ b/src/peridotpost/kernel/lines.py
@@ -41,29 +41,29 @@
 
     def state(self, what: str, **fields: Any) -> None:
         """Log a change of what the process is or believes."""
-        self._write(what, fields)
+        self.tell(what, fields)
 
-    def request(
-        self,
-        decision: str,
-        weight: logbudget.Weight = logbudget.Weight.ENDING,
-        **fields: Any,
-    ) -> None:
+    def request(self, decision: str, **fields: Any) -> None:
         """Log a decision on a request, if there is room for the line."""
+        if self.has_room(logbudget.Weight.ENDING):
+            self.tell(decision, fields)
+
+    def has_room(self, weight: logbudget.Weight) -> bool:
+        """Take the room for a line about a request; without, count it."""
         if self.budget.takes(weight, self.wall()):
-            self._write(decision, fields)
-        else:
-            self.left_out += 1
+            return True
+        self.left_out += 1
+        return False
 
-    def served(self, now: float, **fields: Any) -> None:
-        """Log a request that was served, one in a second.
+    def has_room_for_served(self, now: float) -> bool:
+        """Take the room for the one served request of a second.
 
         :param now: seconds of a steady clock.
         """
-        if self.budget.takes_served(now):
-            self._write('served', fields)
+        return self.budget.takes_served(now)
 
-    def _write(self, what: str, fields: dict[str, Any]) -> None:
+    def tell(self, what: str, fields: dict[str, Any]) -> None:
+        """Write a line; for one about a request, room was taken."""
         line: dict[str, Any] = {
             'at': round(self.wall(), 3),
             'host': self.host,
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -65,7 +65,6 @@
         self.kernel = registry.Kernel()
         self.counts = counters.Counters()
         self.randomness = random.Random()
-        self.stopping = False
         self.ports: list[listener.Port] = []
         self.own = self._own_record()
         self._build()
@@ -130,7 +129,7 @@
         )
         self.metrics = metrics.Metrics(self.counts, self)
         self.forwarder.observe = self._observe
-        self.guard.crashed.subscribe(self._own_target_crashed)
+        self.guard.reach.crashed.subscribe(self._own_target_crashed)
         self.directory.noticed.subscribe(self._noticed)
         for name in ('guard', 'directory', 'forwarder', 'versions', 'feed'):
             self.kernel.register(name, getattr(self, name))
@@ -212,7 +211,6 @@
         """Stop without cutting a request: out of rotation, then out."""
         started = deadlines.now()
         end = started + END_SHARE * self.settings.shutdown.grace_s
-        self.stopping = True
         self.directory.leaving = True
         self.log.state('stage', to='leaving', in_flight=self._in_flight())
         await asyncio.sleep(GUARD_STOPS_S)
@@ -240,7 +238,8 @@
     def _readiness(
         self, message: http1.Message, inner: bool, respond: listener.Respond
     ) -> None:
-        ready = not self.stopping and self.forwarder.config is not None
+        leaving = self.directory.leaving
+        ready = not leaving and self.forwarder.config is not None
         respond(listener.Reply(200 if ready else 503))
 
     def _announced(
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -20,6 +20,7 @@
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import frames
 from peridotpost.proxy import guard as guards
+from peridotpost.proxy import orders
 from peridotpost.proxy import peers
 
 FIRST_PAUSE_S = 0.1
@@ -293,7 +294,7 @@
 
     def _status(self) -> frames.Status:
         load = int(self.guard.queue.load * 100)
-        return peers.status_frame(self.guard.status(), load)
+        return orders.status_of(self.guard.status(), load)
 
     def _own_target_changed(self, status: instances.TargetStatus) -> None:
         own = self.own_candidate
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -111,7 +111,6 @@
         self.randomness = randomness
         self.counts = counts
         self.log = log
-        self.reachable: bool | None = None
         self.lease = 0
         self.written = False
         self.written_at = 0.0
@@ -119,6 +118,11 @@
         self.back = asyncio.Event()
         self.calls_fail = False
 
+    @property
+    def reachable(self) -> bool | None:
+        """Whether the store answers; None until it was asked."""
+        return self.versions.following.answers
+
     async def watch(self) -> None:
         """Follow the configuration in the store until cancelled."""
         pause_s = RETRY_S
@@ -289,9 +293,7 @@
     def _note(self, reachable: bool, error: str) -> None:
         if reachable == self.reachable:
             return
-        self.reachable = reachable
         self.versions.following.store_answers(reachable, deadlines.now())
-        self.versions.follows = reachable and not self.versions.following.slow
         to = 'reachable' if reachable else 'unreachable'
         self.log.state('store', to=to, error=error)
 
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -60,7 +60,6 @@
         self.current: mesh.MeshConfig | None = None
         self.raw = b''
         self.following = follow
-        self.follows = False
         self.recent: dict[int, bytes] = {}
         self.applied_at = deadlines.now()
         directory.noticed.subscribe(self._noticed)
@@ -120,11 +119,11 @@
 
     def beat(self) -> None:
         """Tell those with slow links that the store is followed here."""
-        if self.follows and self.version:
+        if self.following.follows and self.version:
             self.directory.tell_zone(self._told(), slow_only=True)
 
     def _told(self) -> frames.Version:
-        return frames.Version(self.version, self.follows)
+        return frames.Version(self.version, self.following.follows)
 
     def _heard(self, told: frames.Version, stream: peers.PeerStream) -> None:
         far = self.directory.is_far(stream.zone)
--- a/src/peridotpost/proxy/exchange.py
+++ b/src/peridotpost/proxy/exchange.py
@@ -83,5 +83,10 @@
         self.last_asked = False
         self.retry_after_s = NO_TARGET_RETURN_S
 
+    @property
+    def host(self) -> str:
+        """Whose guard was asked last; empty before the first."""
+        return self.candidate.host if self.candidate is not None else ''
+
     def abandoned(self) -> None:
         self.owner.abandoned(self)
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from typing import Any
 from typing import Protocol
 
 from peridotpost.decisions import attempts
 from peridotpost.decisions import budget as budget_rules
-from peridotpost.decisions import logbudget
 from peridotpost.decisions import poison
 from peridotpost.decisions import selection
 from peridotpost.decisions import split
@@ -21,6 +19,7 @@
 from peridotpost.proxy import listener
 from peridotpost.proxy import names
 from peridotpost.proxy import problems
+from peridotpost.proxy import requestlog
 
 RANK_OF_CALLS = -1
 """Calls of targets go before requests of callers of any rank."""
@@ -64,7 +63,7 @@
         self.budget = retry_budget
         self.sweep = sweep
         self.counts = counts
-        self.log = log
+        self.log = requestlog.RequestLog(log, lambda: self.config)
         self.splitter = split.Splitter()
         self.poison = poison.PoisonList()
         self.config: mesh.MeshConfig | None = None
@@ -271,8 +270,7 @@
                 exchange.retry_after_s = outcome.retry_after_s
         elif isinstance(outcome, forwarding.Lost):
             candidate.note(True, now)
-            step = logbudget.Weight.STEP
-            self._log(exchange, 'lost', candidate.host, outcome.detail, step)
+            self.log.lost(exchange, candidate.host, outcome.detail)
         else:
             failed = outcome.status >= attempts.FAILED_STATUS
             candidate.note(failed, now)
@@ -293,7 +291,7 @@
         self._end(exchange)
         if self.poison.suspects and outcome.status < attempts.FAILED_STATUS:
             self.poison.cleared((self._fingerprint(exchange),))
-        self._log_answer(exchange, outcome.status)
+        self.log.answered(exchange, outcome.status)
         self._observe(exchange, outcome.status)
         exchange.respond(
             listener.Reply(
@@ -307,7 +305,7 @@
         """Answer for a request that no target will answer."""
         if exchange.attempts.lost:
             self._end(exchange)
-            self._log(exchange, 'unknown', '', exchange.attempts.lost)
+            self.log.ended(exchange, 'unknown', '', exchange.attempts.lost)
             self._own_answer(
                 exchange, problems.Problem(502, 'outcome-unknown')
             )
@@ -318,7 +316,7 @@
         self, exchange: exchanges.Exchange, reason: forwarding.Refusal
     ) -> None:
         self._end(exchange)
-        self._log(exchange, 'refused', '', reason.value)
+        self.log.ended(exchange, 'refused', '', reason.value)
         self._own_answer(
             exchange,
             problems.Problem(503, reason.value, exchange.retry_after_s),
@@ -331,7 +329,7 @@
         self._end(exchange)
         self._withdraw(exchange)
         detail = exchange.attempts.lost or 'no answer in time'
-        self._log(exchange, 'timeout', self._host(exchange), detail)
+        self.log.ended(exchange, 'timeout', exchange.host, detail)
         if dispatched or exchange.attempts.lost:
             self._own_answer(exchange, problems.Problem(504, 'timeout'))
         else:
@@ -355,14 +353,7 @@
         retry_after_s: float = 0.0,
     ) -> None:
         self.counts.add(f'requests.own-{status}')
-        self.log.request(
-            'refused',
-            request=message.attempt_id.decode('latin-1'),
-            status=status,
-            reason=title,
-            target=message.target[:80].decode('latin-1'),
-            version=self.config.version if self.config else 0,
-        )
+        self.log.refused_unrouted(message, status, title)
         respond(
             problems.render(problems.Problem(status, title, retry_after_s))
         )
@@ -381,48 +372,3 @@
         if self.observe is not None:
             elapsed = deadlines.now() - exchange.started
             self.observe(exchange, status, elapsed)
-
-    def _host(self, exchange: exchanges.Exchange) -> str:
-        return exchange.candidate.host if exchange.candidate else ''
-
-    def _log_answer(self, exchange: exchanges.Exchange, status: int) -> None:
-        if status >= attempts.FAILED_STATUS:
-            self._log(exchange, 'failed', self._host(exchange), str(status))
-            return
-        now = deadlines.now()
-        if now >= self.log.budget.next_served:
-            target = self._host(exchange)
-            told = self._told(exchange, target, str(status), now)
-            self.log.served(now, **told)
-
-    def _log(
-        self,
-        exchange: exchanges.Exchange,
-        decision: str,
-        target: str,
-        detail: str,
-        weight: logbudget.Weight = logbudget.Weight.ENDING,
-    ) -> None:
-        told = self._told(exchange, target, detail, deadlines.now())
-        self.log.request(decision, weight, **told)
-
-    def _told(
-        self,
-        exchange: exchanges.Exchange,
-        target: str,
-        detail: str,
-        now: float,
-    ) -> dict[str, Any]:
-        """Return what each line about a request tells."""
-        return {
-            'request': exchange.message.attempt_id.decode('latin-1'),
-            'route': exchange.route.name,
-            'service': exchange.service,
-            'target': target,
-            'detail': detail,
-            'tried': exchange.tried,
-            'arrivals': exchange.attempts.arrivals,
-            'elapsed_ms': round((now - exchange.started) * 1000),
-            'left_ms': round((exchange.deadline - now) * 1000),
-            'version': self.config.version if self.config else 0,
-        }
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -6,14 +6,11 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
-import dataclasses
 import random
 
 from peridotpost.decisions import incarnations
 from peridotpost.decisions import logbudget
-from peridotpost.decisions import poison
 from peridotpost.decisions import slots as slot_rules
 from peridotpost.kernel import counters
 from peridotpost.kernel import hooks
@@ -23,30 +20,14 @@
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import http1
 from peridotpost.proxy import names
+from peridotpost.proxy import reachability
 from peridotpost.proxy import upstream
 
-DOWN_PAUSE_S = 0.1
-"""First pause between two tries to reach a target that refuses
-connections; doubles up to ``MAX_DOWN_PAUSE_S``."""
-MAX_DOWN_PAUSE_S = 0.8
-CRASH_WINDOW_S = 1.0
-"""A lost request is taken for a cause of the crash if the target refuses
-connections within this time; a restart takes longer."""
-MAX_LOSSES = 64
-"""More than a target has slots; older ones are out of the window."""
 DEADLINE_SLACK_S = 0.1
 """How long after the deadline the guard cuts a run: its ingress does so at
 the deadline, the guard only where the ingress is gone."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Loss:
-    """A request whose answer was lost, and when."""
-
-    at: float
-    order: forwarding.Order
-
-
 class Guard:
     """Slots, queue and connections of one target.
 
@@ -71,15 +52,10 @@
         self.running: dict[forwarding.Order, upstream.TargetConnection] = {}
         self.opening: dict[forwarding.Order, asyncio.Task[None]] = {}
         self.expiries: dict[forwarding.Order, int] = {}
-        self.losses: collections.deque[Loss] = collections.deque(
-            maxlen=MAX_LOSSES
-        )
-        self.down = False
-        self.down_pause_s = DOWN_PAUSE_S
+        self.reach = reachability.Reachability(self, log)
         self.cold_until = 0.0
         self.leaving = False
         self.changed: hooks.Hook[instances.TargetStatus] = hooks.Hook('target')
-        self.crashed: hooks.Hook[tuple[str, ...]] = hooks.Hook('crash')
         self.instance_header = b''
 
     @property
@@ -95,7 +71,7 @@
             known.service,
             known.instance,
             known.slots,
-            self._takes_work() and not self.down,
+            self.expects_target() and not self.reach.down,
             cold_s,
         )
 
@@ -110,7 +86,7 @@
         )
         if fresh:
             self.idle.close()
-            self.down = False
+            self.reach.replaced()
             self.cold_until = deadlines.now() + told.cold_s
             self.instance_header = (
                 self.names.instance + b': ' + told.instance.encode() + b'\r\n'
@@ -141,16 +117,16 @@
     def submit(self, order: forwarding.Order) -> None:
         """Run `order` as soon as its turn comes, or settle it refused."""
         known = self.instances.current
-        if not self._takes_work() or known is None:
+        if not self.expects_target() or known is None:
             order.settle(forwarding.Refused(forwarding.Refusal.LEAVING))
             return
         if known.service != order.service:
             order.settle(forwarding.Refused(forwarding.Refusal.WRONG_SERVICE))
             return
-        if self.down:
+        if self.reach.down:
             order.settle(
                 forwarding.Refused(
-                    forwarding.Refusal.UNREACHABLE, self.down_pause_s
+                    forwarding.Refusal.UNREACHABLE, self.reach.pause_s
                 )
             )
             return
@@ -188,7 +164,8 @@
             connection.close()
         self.idle.close()
 
-    def _takes_work(self) -> bool:
+    def expects_target(self) -> bool:
+        """Whether the target is announced and may get work."""
         known = self.instances.current
         return (
             not self.leaving
@@ -197,7 +174,7 @@
         )
 
     def _status_changed(self) -> None:
-        if not self._takes_work():
+        if not self.expects_target():
             # What waits would reach the target after its drain was
             # acknowledged; other targets can still have it.
             for order in self.queue.drain():
@@ -216,24 +193,25 @@
             self._start(order)
 
     def _log_declined(self, order: forwarding.Order, return_s: float) -> None:
+        if not self.log.has_room(logbudget.Weight.STEP):
+            return
         now = deadlines.now()
         queue = self.queue
-        self.log.request(
-            'declined',
-            logbudget.Weight.STEP,
-            request=order.attempt_id.decode('latin-1'),
-            route=order.route,
-            rank=order.rank,
-            last=order.last,
-            running=queue.running,
-            waiting=len(queue.waiting),
-            slots=queue.slots,
-            wait_ms=round(queue.expected_wait_s(order.rank) * 1000),
-            run_ms=round(queue.expected_run_s(order.route) * 1000),
-            objective_ms=round((order.objective - now) * 1000),
-            left_ms=round((order.deadline - now) * 1000),
-            return_ms=round(return_s * 1000),
-        )
+        fields = {
+            'request': order.attempt_id.decode('latin-1'),
+            'route': order.route,
+            'rank': order.rank,
+            'last': order.last,
+            'running': queue.running,
+            'waiting': len(queue.waiting),
+            'slots': queue.slots,
+            'wait_ms': round(queue.expected_wait_s(order.rank) * 1000),
+            'run_ms': round(queue.expected_run_s(order.route) * 1000),
+            'objective_ms': round((order.objective - now) * 1000),
+            'left_ms': round((order.deadline - now) * 1000),
+            'return_ms': round(return_s * 1000),
+        }
+        self.log.tell('declined', fields)
 
     def _expire_at(self, at: float, order: forwarding.Order) -> None:
         self._forget(order)
@@ -254,9 +232,7 @@
         known = self.instances.current
         assert known is not None
         try:
-            connection = await upstream.connect(
-                known.address, known.port, self.names, self._connection_left
-            )
+            connection = await self.connect()
         except OSError as error:
             self._unreachable(order, error)
             return
@@ -264,7 +240,7 @@
         if self.opening.pop(order, None) is None or order.settled:
             connection.close()
             return
-        if not self._takes_work() or self.instances.current is not known:
+        if not self.expects_target() or self.instances.current is not known:
             # The drain was acknowledged while the connection opened.
             connection.close()
             self._forget(order)
@@ -315,8 +291,7 @@
         else:
             verdict = self.queue.release(now)
         if isinstance(outcome, forwarding.Lost):
-            self.losses.append(Loss(now, order))
-            self._check_target()
+            self.reach.answer_lost(order)
         done(outcome)
         self._apply(verdict)
 
@@ -329,67 +304,44 @@
     def _unreachable(self, order: forwarding.Order, error: OSError) -> None:
         if self.opening.pop(order, None) is None:
             return
-        now = deadlines.now()
         self._forget(order)
-        self._target_down(now, error)
-        self._apply(self.queue.release(now))
+        self.reach.refused(error)
+        self._apply(self.queue.release(deadlines.now()))
         order.settle(
-            forwarding.Refused(forwarding.Refusal.UNREACHABLE, DOWN_PAUSE_S)
-        )
-
-    def _target_down(self, now: float, error: OSError) -> None:
-        """The target takes no connection: it crashed or is gone."""
-        suspects = tuple(
-            poison.fingerprint(
-                one.order.method, one.order.target, one.order.body
+            forwarding.Refused(
+                forwarding.Refusal.UNREACHABLE, reachability.DOWN_PAUSE_S
             )
-            for one in self.losses
-            if now - one.at <= CRASH_WINDOW_S
         )
-        self.losses.clear()
-        if suspects:
-            self.crashed.fire(suspects)
-        if self.down:
-            return
-        self.down = True
-        self.down_pause_s = DOWN_PAUSE_S
-        self.log.state(
-            'target', to='unreachable', error=str(error) or 'timeout'
+
+    async def connect(self) -> upstream.TargetConnection:
+        """Open a connection to the target that is announced.
+
+        :raises OSError: it takes none.
+        """
+        known = self.instances.current
+        assert known is not None
+        return await upstream.connect(
+            known.address, known.port, self.names, self._connection_left
         )
+
+    def keep(self, connection: upstream.TargetConnection) -> None:
+        """Take a connection that was opened to see whether it can be."""
+        connection.idle_since = deadlines.now()
+        self.idle.add(connection)
+
+    def target_down(self) -> None:
+        """Hand back what waits; other targets can still have it."""
         for order in self.queue.drain():
             self._forget(order)
             order.settle(forwarding.Refused(forwarding.Refusal.UNREACHABLE))
         self.changed.fire(self.status())
-        self._check_later()
-
-    def _check_later(self) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_later(self.down_pause_s, self._check_target)
-        self.down_pause_s = min(MAX_DOWN_PAUSE_S, 2 * self.down_pause_s)
 
-    def _check_target(self) -> None:
-        """See whether the target takes connections."""
-        asyncio.ensure_future(self._try_connection(self.down))
-
-    async def _try_connection(self, was_down: bool) -> None:
+    def target_up(self) -> None:
+        """Take work again."""
         known = self.instances.current
-        if known is None or not self._takes_work():
-            return
-        try:
-            connection = await upstream.connect(
-                known.address, known.port, self.names, self._connection_left
-            )
-        except OSError as error:
-            self._target_down(deadlines.now(), error)
-            if was_down:
-                self._check_later()
-            return
-        connection.idle_since = deadlines.now()
-        self.idle.add(connection)
-        if was_down and self.down:
-            self.down = False
-            self.log.state('target', to='reachable', instance=known.instance)
-            self.changed.fire(self.status())
+        instance = known.instance if known is not None else ''
+        self.log.state('target', to='reachable', instance=instance)
+        self.changed.fire(self.status())
 
     def _expired(self, order: forwarding.Order) -> None:
         self.expiries.pop(order, None)
--- /dev/null
+++ b/src/peridotpost/proxy/orders.py
@@ -0,0 +1,113 @@
+"""Orders as frames and back: what two daemons say of a dispatch."""
+
+from collections.abc import Callable
+
+from peridotpost.model import forwarding
+from peridotpost.model import instances
+from peridotpost.proxy import frames
+
+MS_IN_S = 1000
+
+
+def dispatch_of(
+    number: int, order: forwarding.Order, now: float
+) -> frames.Dispatch:
+    """Return the frame that sends an order; times go as what is left."""
+    return frames.Dispatch(
+        number,
+        order.service,
+        order.route,
+        order.attempt_id,
+        order.method,
+        order.target,
+        order.head,
+        order.body,
+        order.idempotent,
+        order.last,
+        order.rank,
+        int((order.deadline - now) * MS_IN_S),
+        int((order.objective - now) * MS_IN_S),
+    )
+
+
+def order_of(
+    told: frames.Dispatch,
+    now: float,
+    done: Callable[[forwarding.Outcome], None],
+) -> forwarding.Order:
+    """Return the order that a frame brings, by this process's clock."""
+    return forwarding.Order(
+        number=told.number,
+        service=told.service,
+        attempt_id=told.attempt_id,
+        method=told.method,
+        target=told.target,
+        head=told.head,
+        body=told.body,
+        idempotent=told.idempotent,
+        rank=told.rank,
+        deadline=now + told.left_ms / MS_IN_S,
+        objective=now + told.objective_ms / MS_IN_S,
+        last=told.last,
+        done=done,
+        route=told.route,
+    )
+
+
+def reply_of(
+    number: int, outcome: forwarding.Outcome, load: int, run_s: float
+) -> frames.Frame:
+    """Return the frame that tells an outcome.
+
+    :param load: of the guard, in hundredths of its slots.
+    :param run_s: mean time of a run of the route there.
+    """
+    run_ms = int(run_s * MS_IN_S)
+    if isinstance(outcome, forwarding.TargetAnswer):
+        return frames.Answered(
+            number,
+            outcome.status,
+            outcome.reason,
+            outcome.head,
+            outcome.body,
+            load,
+            run_ms,
+        )
+    if isinstance(outcome, forwarding.Refused):
+        return frames.RefusedFrame(
+            number,
+            outcome.reason.value,
+            int(outcome.retry_after_s * MS_IN_S),
+            outcome.arrived,
+            load,
+            run_ms,
+        )
+    return frames.LostFrame(number, outcome.detail, outcome.crashed)
+
+
+def answer_of(told: frames.Answered) -> forwarding.TargetAnswer:
+    """Return the target's answer that a frame brings."""
+    return forwarding.TargetAnswer(
+        told.status, told.reason, told.head, told.body
+    )
+
+
+def refusal_of(told: frames.RefusedFrame) -> forwarding.Refused:
+    """Return the refusal that a frame brings."""
+    return forwarding.Refused(
+        forwarding.Refusal(told.reason),
+        told.retry_after_ms / MS_IN_S,
+        told.arrived,
+    )
+
+
+def status_of(status: instances.TargetStatus, load: int) -> frames.Status:
+    """Return the frame that tells how a target stands."""
+    return frames.Status(
+        status.service,
+        status.instance,
+        status.slots,
+        status.ready,
+        int(status.cold_s * MS_IN_S),
+        load,
+    )
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -14,6 +14,7 @@
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import frames
 from peridotpost.proxy import guard as guards
+from peridotpost.proxy import orders
 
 CONNECT_TIMEOUT_S = 0.6
 """Ten times the longest way between zones there and back."""
@@ -149,23 +150,7 @@
         if not self.sent:
             self.owed_since = now
         self.sent[number] = order
-        self.send(
-            frames.Dispatch(
-                number,
-                order.service,
-                order.route,
-                order.attempt_id,
-                order.method,
-                order.target,
-                order.head,
-                order.body,
-                order.idempotent,
-                order.last,
-                order.rank,
-                int((order.deadline - now) * 1000),
-                int((order.objective - now) * 1000),
-            )
-        )
+        self.send(orders.dispatch_of(number, order, now))
 
     def withdraw(self, order: forwarding.Order) -> None:
         """Tell the other side that nobody waits for `order`."""
@@ -239,80 +224,26 @@
             self.received.pop(number, None)
             self._reply(told, outcome)
 
-        order = forwarding.Order(
-            number=number,
-            service=told.service,
-            attempt_id=told.attempt_id,
-            method=told.method,
-            target=told.target,
-            head=told.head,
-            body=told.body,
-            idempotent=told.idempotent,
-            rank=told.rank,
-            deadline=now + told.left_ms / 1000,
-            objective=now + told.objective_ms / 1000,
-            last=told.last,
-            done=done,
-            route=told.route,
-        )
+        order = orders.order_of(told, now, done)
         self.received[number] = order
         self.guard.submit(order)
 
     def _reply(
         self, told: frames.Dispatch, outcome: forwarding.Outcome
     ) -> None:
-        number = told.number
-        run_ms = int(self.guard.queue.expected_run_s(told.route) * 1000)
-        if isinstance(outcome, forwarding.TargetAnswer):
-            self.send(
-                frames.Answered(
-                    number,
-                    outcome.status,
-                    outcome.reason,
-                    outcome.head,
-                    outcome.body,
-                    self._load(),
-                    run_ms,
-                )
-            )
-        elif isinstance(outcome, forwarding.Refused):
-            self.send(
-                frames.RefusedFrame(
-                    number,
-                    outcome.reason.value,
-                    int(outcome.retry_after_s * 1000),
-                    outcome.arrived,
-                    self._load(),
-                    run_ms,
-                )
-            )
-        else:
-            self.send(
-                frames.LostFrame(number, outcome.detail, outcome.crashed)
-            )
+        run_s = self.guard.queue.expected_run_s(told.route)
+        self.send(orders.reply_of(told.number, outcome, self._load(), run_s))
 
     def _load(self) -> int:
         return int(self.guard.queue.load * 100)
 
     def _answered(self, told: frames.Answered) -> None:
         self._note_load(told.load, told.number, told.run_ms)
-        self._settle(
-            told.number,
-            forwarding.TargetAnswer(
-                told.status, told.reason, told.head, told.body
-            ),
-        )
+        self._settle(told.number, orders.answer_of(told))
 
     def _refused(self, told: frames.RefusedFrame) -> None:
         self._note_load(told.load, told.number, told.run_ms)
-        self._settle(
-            told.number,
-            forwarding.Refused(
-                forwarding.Refusal(told.reason),
-                told.retry_after_ms / 1000,
-                told.arrived,
-            ),
-        )
+        self._settle(told.number, orders.refusal_of(told))
 
     def _note_load(self, load: int, number: int = 0, run_ms: int = 0) -> None:
         if self.on_load is not None:
@@ -400,14 +331,3 @@
             record.port,
         )
     return stream
-
-
-def status_frame(status: instances.TargetStatus, load: int) -> frames.Status:
-    return frames.Status(
-        status.service,
-        status.instance,
-        status.slots,
-        status.ready,
-        int(status.cold_s * 1000),
-        load,
-    )
--- /dev/null
+++ b/src/peridotpost/proxy/requestlog.py
@@ -0,0 +1,99 @@
+"""Log lines of an ingress: one for each decision on a request."""
+
+from collections.abc import Callable
+from typing import Any
+
+from peridotpost.decisions import attempts
+from peridotpost.decisions import logbudget
+from peridotpost.kernel import lines
+from peridotpost.model import mesh
+from peridotpost.proxy import deadlines
+from peridotpost.proxy import exchange as exchanges
+from peridotpost.proxy import http1
+
+TARGET_BYTES = 80
+"""Part of a request's path that is told where no route names it."""
+
+
+class RequestLog:
+    """Builds a line only where the log has room for it.
+
+    :param config: the configuration in force, None before the first.
+    """
+
+    def __init__(
+        self,
+        log: lines.LineLog,
+        config: Callable[[], mesh.MeshConfig | None],
+    ) -> None:
+        self.log = log
+        self.config = config
+
+    def answered(self, exchange: exchanges.Exchange, status: int) -> None:
+        """Tell of a target's answer; of the good ones, one in a second."""
+        if status >= attempts.FAILED_STATUS:
+            self.ended(exchange, 'failed', exchange.host, str(status))
+            return
+        now = deadlines.now()
+        if self.log.has_room_for_served(now):
+            fields = self._fields(exchange, exchange.host, str(status), now)
+            self.log.tell('served', fields)
+
+    def ended(
+        self,
+        exchange: exchanges.Exchange,
+        decision: str,
+        target: str,
+        detail: str,
+    ) -> None:
+        """Tell what a caller receives that no target gave it."""
+        if self.log.has_room(logbudget.Weight.ENDING):
+            now = deadlines.now()
+            fields = self._fields(exchange, target, detail, now)
+            self.log.tell(decision, fields)
+
+    def lost(
+        self, exchange: exchanges.Exchange, target: str, detail: str
+    ) -> None:
+        """Tell of a dispatch that ended without an answer."""
+        if self.log.has_room(logbudget.Weight.STEP):
+            now = deadlines.now()
+            fields = self._fields(exchange, target, detail, now)
+            self.log.tell('lost', fields)
+
+    def refused_unrouted(
+        self, message: http1.Message, status: int, reason: str
+    ) -> None:
+        """Tell of a request that was refused before it had a route."""
+        self.log.request(
+            'refused',
+            request=message.attempt_id.decode('latin-1'),
+            status=status,
+            reason=reason,
+            target=message.target[:TARGET_BYTES].decode('latin-1'),
+            version=self._version(),
+        )
+
+    def _version(self) -> int:
+        config = self.config()
+        return config.version if config is not None else 0
+
+    def _fields(
+        self,
+        exchange: exchanges.Exchange,
+        target: str,
+        detail: str,
+        now: float,
+    ) -> dict[str, Any]:
+        return {
+            'request': exchange.message.attempt_id.decode('latin-1'),
+            'route': exchange.route.name,
+            'service': exchange.service,
+            'target': target,
+            'detail': detail,
+            'tried': exchange.tried,
+            'arrivals': exchange.attempts.arrivals,
+            'elapsed_ms': round((now - exchange.started) * 1000),
+            'left_ms': round((exchange.deadline - now) * 1000),
+            'version': self._version(),
+        }
--- a/testing/test_lines.py
+++ b/testing/test_lines.py
@@ -108,7 +108,8 @@
     """
     log = lines.LineLog('h', pipe[1], Clock())
     for number in range(1000):
-        log.request('declined', logbudget.Weight.STEP, request=str(number))
+        if log.has_room(logbudget.Weight.STEP):
+            log.tell('declined', {'request': str(number)})
     for number in range(30):
         log.request('refused', request=str(number))
     events = [line['event'] for line in read_lines(pipe[0])]
@@ -119,6 +120,7 @@
 def test_one_served_request_a_second_is_told(pipe: tuple[int, int]) -> None:
     log = lines.LineLog('h', pipe[1], Clock())
     for turn in range(400):
-        log.served(turn / 100, request=str(turn))
+        if log.has_room_for_served(turn / 100):
+            log.tell('served', {'request': str(turn)})
     told = [line['request'] for line in read_lines(pipe[0])]
     assert told == ['0', '100', '200', '300']
