The rank that operators give a route counts at its targets

Cause: callers stand on the same host as the target, so each request came from the host's own address and was taken for a call of the target; all had rank -1 and were served in order of arrival. Ruled out: a mark of calls by address or connection; nothing on the wire tells them apart, and the configured rank of called routes is already above that of the routes that wait for them.

--- a/bench/proxy_path.py
+++ b/bench/proxy_path.py
@@ -61,7 +61,7 @@
 
     async def caller(index: int) -> None:
         reader, writer = await asyncio.open_connection(
-            address, port, local_addr=(proxies.CALLER, 0)
+            address, port, local_addr=(address, 0)
         )
         one = proxies.Caller(reader, writer)
         pause_s = CALLERS / calls_per_s
--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -8,9 +8,8 @@
 
 - The caller of this module is the only sender to its target, so slots are
   counted exactly and nothing waits inside the target.
-- What waits is served by rank (0 first); calls of targets come before
-  all, since a call that fails wastes the slot of the request that made
-  it.  Within a rank those that still make their objective go first, in
+- What waits is served by the rank that operators gave its route (0
+  first).  Within a rank those that still make their objective go first, in
   order of arrival, and those that will be late after them: in one line,
   a queue as long as the objective makes everybody late for ever, at full
   load and with no slot idle.
--- a/src/peridotpost/experiment/simulation.py
+++ b/src/peridotpost/experiment/simulation.py
@@ -11,9 +11,6 @@
 from peridotpost.experiment import scenario as scenarios
 from peridotpost.model import forwarding
 
-CALL_RANK = -1
-"""Calls of targets go before requests of callers."""
-
 
 class Fleet:
     """All hosts and what their callers received."""
@@ -109,7 +106,7 @@
             self._count(result, route, outcome, self.clock.now - started)
             done(good)
 
-        self.ingresses.ask(host, route, CALL_RANK, ended)
+        self.ingresses.ask(host, route, route.rank, ended)
 
     def _count(
         self,
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -103,11 +103,7 @@
             self.counts,
             self.log,
         )
-        self.requests = listener.Port(
-            headers,
-            self.forwarder.handle,
-            frozenset({settings.address, '127.0.0.1'}),
-        )
+        self.requests = listener.Port(headers, self.forwarder.handle)
         follow = following.Following(settings.link_mbps, deadlines.now())
         self.directory.slow = follow.slow
         self.versions = version_feed.Versions(
@@ -199,10 +195,12 @@
     def _observe(
         self, exchange: exchanges.Exchange, status: int, elapsed_s: float
     ) -> None:
-        self.metrics.observe(exchange.service, status, elapsed_s)
+        self.metrics.observe(
+            exchange.service, exchange.rank, status, elapsed_s
+        )
 
     def _metrics_page(
-        self, message: http1.Message, inner: bool, respond: listener.Respond
+        self, message: http1.Message, respond: listener.Respond
     ) -> None:
         head = b'Content-Type: text/plain; version=0.0.4\r\n'
         respond(listener.Reply(200, head, self.metrics.render()))
@@ -236,14 +234,14 @@
         self.requests.limits = config.limits
 
     def _readiness(
-        self, message: http1.Message, inner: bool, respond: listener.Respond
+        self, message: http1.Message, respond: listener.Respond
     ) -> None:
         leaving = self.directory.leaving
         ready = not leaving and self.forwarder.config is not None
         respond(listener.Reply(200 if ready else 503))
 
     def _announced(
-        self, message: http1.Message, inner: bool, respond: listener.Respond
+        self, message: http1.Message, respond: listener.Respond
     ) -> None:
         """Take what the target says; the answer comes when it is kept."""
         told = self.adapter.read_announcement(message)
--- a/src/peridotpost/mesh/metrics.py
+++ b/src/peridotpost/mesh/metrics.py
@@ -24,6 +24,7 @@
     """What one histogram is about."""
 
     service: str
+    rank: int
     outcome: str
 
 
@@ -61,9 +62,11 @@
         self.source = source
         self.histograms: dict[Series, Histogram] = {}
 
-    def observe(self, service: str, status: int, elapsed_s: float) -> None:
+    def observe(
+        self, service: str, rank: int, status: int, elapsed_s: float
+    ) -> None:
         """Record an answer to a caller."""
-        series = Series(service, f'{status // 100}xx')
+        series = Series(service, rank, f'{status // 100}xx')
         found = self.histograms.get(series)
         if found is None:
             found = self.histograms[series] = Histogram()
@@ -112,7 +115,7 @@
         family = self.core.HistogramMetricFamily(
             PREFIX + 'request_seconds',
             'Time from request to answer',
-            labels=['service', 'outcome'],
+            labels=['service', 'rank', 'outcome'],
         )
         for series, held in self.metrics.histograms.items():
             buckets, so_far = [], 0
@@ -121,6 +124,8 @@
                 so_far += count
                 buckets.append((end, so_far))
             family.add_metric(
-                [series.service, series.outcome], buckets, held.total_s
+                [series.service, str(series.rank), series.outcome],
+                buckets,
+                held.total_s,
             )
         return family
--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -74,7 +74,7 @@
     :param deadline: when the caller or the route's timeout gives up, by
         the clock of the process that holds the order (seconds since boot).
     :param objective: until when an answer meets the route's objective.
-    :param rank: 0 is the most urgent; calls of targets come before all.
+    :param rank: of the route, 0 is the most urgent.
     :param last: no other target will be asked if this one refuses.
     :param done: gets the outcome, exactly once.
     :param may_move: whether another target would be asked if this one
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -21,8 +21,6 @@
 from peridotpost.proxy import problems
 from peridotpost.proxy import requestlog
 
-RANK_OF_CALLS = -1
-"""Calls of targets go before requests of callers of any rank."""
 NO_CONFIG_RETURN_S = 0.5
 POISON_RETURN_S = 30.0
 
@@ -76,7 +74,7 @@
         ) = None
 
     def handle(
-        self, message: http1.Message, inner: bool, respond: listener.Respond
+        self, message: http1.Message, respond: listener.Respond
     ) -> exchanges.Exchange | None:
         """Take a request; `respond` is called exactly once for it."""
         config = self.config
@@ -98,7 +96,7 @@
             return None
         service = self.splitter.pick(route.name, route.shares)
         exchange = exchanges.Exchange(self, message, route, service, respond)
-        self._set_times(exchange, inner)
+        self._set_times(exchange)
         exchange.head = bytes(message.head) + self.caller_head
         self.in_flight += 1
         if self._is_poison(exchange):
@@ -125,7 +123,7 @@
         """Note requests that were running when a target crashed."""
         self.poison.crashed(fingerprints, target, incident, deadlines.now())
 
-    def _set_times(self, exchange: exchanges.Exchange, inner: bool) -> None:
+    def _set_times(self, exchange: exchanges.Exchange) -> None:
         told = exchange.message.deadline_ms
         if told.isdigit():
             # The operators' timeout bounds what callers ask for.
@@ -134,8 +132,6 @@
             exchange.deadline = min(exchange.deadline, until)
             exchange.attempts.deadline = exchange.deadline
         exchange.objective = min(exchange.objective, exchange.deadline)
-        if inner:
-            exchange.rank = RANK_OF_CALLS
 
     def _is_poison(self, exchange: exchanges.Exchange) -> bool:
         if not self.poison.suspects:
--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -43,7 +43,7 @@
 
 
 Respond = Callable[[Reply], None]
-Handle = Callable[[http1.Message, bool, Respond], Pending | None]
+Handle = Callable[[http1.Message, Respond], Pending | None]
 
 
 class ServerConnection(asyncio.Protocol):
@@ -63,15 +63,12 @@
         self.broken = False
         self.since = deadlines.now()
         self.partial = False
-        self.inner = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         opened = transport.get_extra_info('socket')
         if opened is not None:
             opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        peer = transport.get_extra_info('peername')
-        self.inner = peer is not None and peer[0] in self.port.own_addresses
         self.port.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -107,7 +104,7 @@
     def _begin(self, message: http1.Message) -> None:
         self.busy = True
         self.last_close = not message.keep_alive
-        pending = self.port.handle(message, self.inner, self._respond)
+        pending = self.port.handle(message, self._respond)
         # The answer may have come within the call.
         if self.busy:
             self.pending = pending
@@ -176,20 +173,13 @@
 
 
 class Port:
-    """One listening port and its connections.
-
-    :param own_addresses: senders at these are targets of this host.
-    """
+    """One listening port and its connections."""
 
     def __init__(
-        self,
-        header_names: names.HeaderNames,
-        handle: Handle,
-        own_addresses: frozenset[str] = frozenset(),
+        self, header_names: names.HeaderNames, handle: Handle
     ) -> None:
         self.names = header_names
         self.handle = handle
-        self.own_addresses = own_addresses
         self.limits = mesh.CallerLimits()
         self.connections: set[ServerConnection] = set()
         self.closing = False
--- a/src/peridotpost/proxy/requestlog.py
+++ b/src/peridotpost/proxy/requestlog.py
@@ -89,6 +89,7 @@
             'request': exchange.message.attempt_id.decode('latin-1'),
             'route': exchange.route.name,
             'service': exchange.service,
+            'rank': exchange.rank,
             'target': target,
             'detail': detail,
             'tried': exchange.tried,
--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -20,8 +20,6 @@
 from testing.standins import worker as worker_standin
 
 HOST = 'bonds.example'
-CALLER = '127.0.0.9'
-"""Address that callers connect from; a target connects from its host's."""
 PATIENCE_S = 20.0
 NETWORK = f'127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}'
 """Loopback addresses of this process; two runs at a time do not meet."""
@@ -99,11 +97,14 @@
     sequence: int = 0
 
     @contextlib.asynccontextmanager
-    async def caller(self, source: str = CALLER) -> AsyncIterator[Caller]:
-        """Open a caller's connection."""
+    async def caller(self) -> AsyncIterator[Caller]:
+        """Open a caller's connection, from the host's own address.
+
+        Callers stand on the host, as its target does.
+        """
         ip, port = border.split_address(self.settings.listen.requests)
         reader, writer = await asyncio.open_connection(
-            ip, port, local_addr=(source, 0)
+            ip, port, local_addr=(ip, 0)
         )
         try:
             yield Caller(reader, writer)
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -60,7 +60,7 @@
                 connection = await asyncio.open_connection(
                     self.host.address,
                     hosts.REQUESTS,
-                    local_addr=(proxies.CALLER, 0),
+                    local_addr=(self.host.address, 0),
                 )
             except OSError:
                 await asyncio.sleep(NO_CONNECTION_PAUSE_S)
--- a/testing/test_metrics.py
+++ b/testing/test_metrics.py
@@ -1,4 +1,4 @@
-"""The metrics page tells what happened, by service and outcome."""
+"""The metrics page tells what happened, by service, rank and outcome."""
 
 import asyncio
 
@@ -15,9 +15,9 @@
         page = await proxies.Caller(reader, writer).ask('/metrics')
         writer.close()
     text = page.body.decode()
-    counted = 'peridotpost_request_seconds_count{outcome="%s",service='
-    assert counted % '2xx' + '"register"} 1.0' in text
-    assert counted % '5xx' + '"register"} 1.0' in text
+    counted = 'peridotpost_request_seconds_count{outcome="%s",rank="2",'
+    assert counted % '2xx' + 'service="register"} 1.0' in text
+    assert counted % '5xx' + 'service="register"} 1.0' in text
     assert 'peridotpost_config_version 1.0' in text
     assert 'peridotpost_members 2.0' in text
     assert 'peridotpost_processor_seconds_total' in text
