--- a/src/peridotpost/proxy/exchange.py
+++ b/src/peridotpost/proxy/exchange.py
@@ -31,6 +31,10 @@
     :param over: whether it was answered, or its caller has gone.
     :param last_asked: whether a guard was told that nobody else is asked.
     :param retry_after_s: when to come back, as the last guard said.
+    :param first_at: when its caller first asked for it, `started` but for
+        one that was refused before.
+    :param patient_until: the caller's own deadline; the route's timeout
+        where it told none.
     """
 
     __slots__ = (
@@ -52,6 +56,8 @@
         'over',
         'last_asked',
         'retry_after_s',
+        'first_at',
+        'patient_until',
     )
 
     def __init__(
@@ -82,6 +88,8 @@
         self.over = False
         self.last_asked = False
         self.retry_after_s = NO_TARGET_RETURN_S
+        self.first_at = self.started
+        self.patient_until = self.deadline
 
     @property
     def host(self) -> str:
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -7,6 +7,7 @@
 from peridotpost.decisions import attempts
 from peridotpost.decisions import budget as budget_rules
 from peridotpost.decisions import poison
+from peridotpost.decisions import returning
 from peridotpost.decisions import selection
 from peridotpost.decisions import split
 from peridotpost.kernel import counters
@@ -64,6 +65,7 @@
         self.log = requestlog.RequestLog(log, lambda: self.config)
         self.splitter = split.Splitter()
         self.poison = poison.PoisonList()
+        self.refused = returning.RefusedRequests()
         self.config: mesh.MeshConfig | None = None
         self.caller_head = (
             header_names.caller + b': ' + caller_service.encode() + b'\r\n'
@@ -94,9 +96,14 @@
         if route is None:
             self._refuse_early(message, respond, 404, 'no-route')
             return None
-        service = self.splitter.pick(route.name, route.shares)
+        first = self._first_attempt(message, route)
+        service = self._part(route, first)
         exchange = exchanges.Exchange(self, message, route, service, respond)
         self._set_times(exchange)
+        if first is not None:
+            self.counts.add('requests.returned')
+            exchange.first_at = first.at
+            exchange.patient_until = first.until
         exchange.head = bytes(message.head) + self.caller_head
         self.in_flight += 1
         if self._is_poison(exchange):
@@ -123,12 +130,31 @@
         """Note requests that were running when a target crashed."""
         self.poison.crashed(fingerprints, target, incident, deadlines.now())
 
+    def _first_attempt(
+        self, message: http1.Message, route: mesh.PathRoute
+    ) -> returning.FirstAttempt | None:
+        """Return what is known of a request that was refused before."""
+        if not self.refused.held:
+            return None
+        name = _fingerprint(message)
+        return self.refused.came(name, route.name, deadlines.now())
+
+    def _part(
+        self, route: mesh.PathRoute, first: returning.FirstAttempt | None
+    ) -> str:
+        """Return the service that a request goes to."""
+        if first is not None:
+            if any(one.service == first.service for one in route.shares):
+                return first.service
+        return self.splitter.pick(route.name, route.shares)
+
     def _set_times(self, exchange: exchanges.Exchange) -> None:
         told = exchange.message.deadline_ms
         if told.isdigit():
             # The operators' timeout bounds what callers ask for.
             left_s = int(told) / 1000
             until = exchange.started + left_s
+            exchange.patient_until = until
             exchange.deadline = min(exchange.deadline, until)
             exchange.attempts.deadline = exchange.deadline
         exchange.objective = min(exchange.objective, exchange.deadline)
@@ -136,14 +162,10 @@
     def _is_poison(self, exchange: exchanges.Exchange) -> bool:
         if not self.poison.suspects:
             return False
-        name = self._fingerprint(exchange)
+        name = _fingerprint(exchange.message)
         now = deadlines.now()
         return self.poison.names_refused_for_s((name,), now) > 0
 
-    def _fingerprint(self, exchange: exchanges.Exchange) -> str:
-        message = exchange.message
-        return poison.fingerprint(message.method, message.target, message.body)
-
     def _dispatch(self, exchange: exchanges.Exchange) -> None:
         """Send to the best target that was not tried; refuse without."""
         now = deadlines.now()
@@ -286,7 +308,7 @@
     ) -> None:
         self._end(exchange)
         if self.poison.suspects and outcome.status < attempts.FAILED_STATUS:
-            self.poison.cleared((self._fingerprint(exchange),))
+            self.poison.cleared((_fingerprint(exchange.message),))
         self.log.answered(exchange, outcome.status)
         self._observe(exchange, outcome.status)
         exchange.respond(
@@ -312,6 +334,15 @@
         self, exchange: exchanges.Exchange, reason: forwarding.Refusal
     ) -> None:
         self._end(exchange)
+        self.refused.refused(
+            _fingerprint(exchange.message),
+            returning.FirstAttempt(
+                exchange.route.name,
+                exchange.service,
+                exchange.first_at,
+                exchange.patient_until,
+            ),
+        )
         self.log.ended(exchange, 'refused', '', reason.value)
         self._own_answer(
             exchange,
@@ -368,3 +399,7 @@
         if self.observe is not None:
             elapsed = deadlines.now() - exchange.started
             self.observe(exchange, status, elapsed)
+
+
+def _fingerprint(message: http1.Message) -> str:
+    return poison.fingerprint(message.method, message.target, message.body)
--- /dev/null
+++ b/testing/test_returning.py
@@ -0,0 +1,114 @@
+"""Callers that were refused and come again, at the ingress that knows them."""
+
+import collections
+import random
+
+import pytest
+
+from peridotpost.decisions import returning
+from peridotpost.decisions import split
+from peridotpost.model import mesh
+from testing import conditions
+from testing import proxies
+
+SHARES = (mesh.Share('stable', 75), mesh.Share('trial', 25))
+
+
+def first(until: float = 2.0) -> returning.FirstAttempt:
+    return returning.FirstAttempt('issue', 'stable', 1.0, until)
+
+
+@pytest.mark.parametrize(
+    ('fingerprint', 'route', 'now', 'known'),
+    [
+        pytest.param('f', 'issue', 1.5, True, id='comes again'),
+        pytest.param('g', 'issue', 1.5, False, id='another request'),
+        pytest.param(
+            'f', 'release', 1.5, False, id='the path moved to a route'
+        ),
+        pytest.param('f', 'issue', 2.0, False, id='after its deadline'),
+    ],
+)
+def test_a_request_is_known_when_it_comes_again(
+    fingerprint: str, route: str, now: float, known: bool
+) -> None:
+    refused = returning.RefusedRequests()
+    refused.refused('f', first())
+    assert (refused.came(fingerprint, route, now) is not None) is known
+
+
+def test_a_memory_serves_once() -> None:
+    refused = returning.RefusedRequests()
+    refused.refused('f', first())
+    assert refused.came('f', 'issue', 1.1) == first()
+    assert refused.came('f', 'issue', 1.2) is None
+
+
+def test_the_memory_is_bounded() -> None:
+    refused = returning.RefusedRequests()
+    for number in range(returning.MAX_REMEMBERED + 10):
+        refused.refused(f'f{number}', first())
+    assert len(refused.held) == returning.MAX_REMEMBERED
+    assert refused.came('f9', 'issue', 1.1) is None
+    assert refused.came('f10', 'issue', 1.1) is not None
+
+
+def run_of_split(remembering: bool) -> float:
+    """Play a split whose larger part refuses four in five; return its share.
+
+    Each refused caller comes again once.
+    """
+    dice = random.Random(3)
+    splitter = split.Splitter()
+    refused = returning.RefusedRequests()
+    asked: collections.Counter[str] = collections.Counter()
+    comes_again: list[str] = []
+    for number in range(4000):
+        name = str(number)
+        if comes_again and dice.random() < 0.5:
+            name = comes_again.pop(0)
+        known = refused.came(name, 'issue', 0.0) if remembering else None
+        service = known.service if known else splitter.pick('issue', SHARES)
+        asked[service] += 1
+        if service == 'stable' and dice.random() < 0.8 and known is None:
+            comes_again.append(name)
+            found = returning.FirstAttempt('issue', service, 0.0, 1.0)
+            refused.refused(name, found)
+    return asked['stable'] / asked.total()
+
+
+def test_a_refused_request_does_not_move_to_another_part() -> None:
+    """The weights of a split are lost while one part is short of room.
+
+    The larger part refuses most of what it gets.  Each refused caller
+    comes again and draws anew; one in four lands at the other part, which
+    then gets more than its quarter of the callers.
+    """
+    assert run_of_split(remembering=True) > run_of_split(remembering=False)
+
+
+async def test_a_part_is_kept_by_a_caller_that_comes_again() -> None:
+    """A caller refused by one part of a split is run by the other part.
+
+    The first part has no target, so the caller gets 503 and comes again;
+    drawn anew, it reaches the second part, against the weights.
+    """
+    async with proxies.running() as mesh_of:
+        text = proxies.config()
+        del text['routes'][0]['service']
+        text['routes'][0]['trafficSplit'] = [
+            {'service': 'vault', 'weight': 60},
+            {'service': 'register', 'weight': 40},
+        ]
+        await mesh_of.kv.configure(text)
+        host = await mesh_of.add('a')
+        await host.announce()
+        await mesh_of.ready()
+        statuses = [
+            (await host.ask('/read/ok', attempt=f'a{number}')).status
+            for number in range(4)
+        ]
+        assert statuses == [503, 503, 503, 503]
+        other = (await host.ask('/read/ok?other', attempt='b')).status
+        assert other == 200
+        await conditions.until(lambda: len(host.worker.runs) == 1)
