Waits are judged by the work ahead; the earliest objective of a rank goes first

Hypothesis: a wait by heads and one mean over all routes is wrong where short calls and long requests share a target; calls that stand in line behind requests of their own rank are refused, and what made them fails. Change: run times with their deviation by route; the work ahead over the part of the slots that others leave; earliest objective first within a rank; the few late ones are counted by rank.

--- a/src/peridotpost/decisions/returning.py
+++ b/src/peridotpost/decisions/returning.py
@@ -8,8 +8,9 @@
 to .41, against the operators' weights.
 
 An ingress remembers what it refused until that caller's own deadline.  A
-request that comes again keeps its part.  Equal requests of two callers can be taken for each other;
-as each memory serves once, the numbers still come out right.
+request that comes again keeps its part.  Equal requests of two callers can
+be taken for each other; as each memory serves once, the numbers still come
+out right.
 """
 
 import dataclasses
--- /dev/null
+++ b/src/peridotpost/decisions/runtimes.py
@@ -0,0 +1,68 @@
+"""How long runs of a route take on one target, and how much they vary.
+
+Load pattern: requests of several routes share a target, and their runs
+differ by a factor of ten; a target slows down, or is replaced by a slower
+one.  With one mean for all routes a queue of ten short calls counts as much
+as one of ten long requests: long ones are taken in that end late, and short
+ones are refused that would have had a slot at once.
+
+Mean and mean deviation are moving averages with TCP's weight of 1/8: what
+was a dozen runs ago has faded, one odd run shifts little.
+"""
+
+import dataclasses
+
+RUN_WEIGHT = 1 / 8
+FIRST_RUN_S = 0.06
+"""Taken until something has run: a usual time of the services known."""
+FIRST_DEVIATION_SHARE = 0.5
+"""Of the first run's time, as TCP takes it for a first round trip."""
+
+
+@dataclasses.dataclass(slots=True)
+class RunTime:
+    """Runs of one route; seconds."""
+
+    mean_s: float
+    deviation_s: float
+
+    def add(self, held_s: float) -> None:
+        """Take a run that held its slot for so long."""
+        off_s = abs(held_s - self.mean_s)
+        self.deviation_s += RUN_WEIGHT * (off_s - self.deviation_s)
+        self.mean_s += RUN_WEIGHT * (held_s - self.mean_s)
+
+
+class RunTimes:
+    """Runs of one target, by route.
+
+    :param mean_s: over all routes.
+    :param mean_by_route: the same figures as `by_route` holds, for those
+        who compare targets.
+    """
+
+    def __init__(self) -> None:
+        self.mean_s = FIRST_RUN_S
+        self.by_route: dict[str, RunTime] = {}
+        self.mean_by_route: dict[str, float] = {}
+
+    def add(self, route: str, held_s: float) -> None:
+        """Take a run of a route."""
+        known = self.by_route.get(route)
+        if known is None:
+            first = FIRST_DEVIATION_SHARE * held_s
+            known = self.by_route[route] = RunTime(held_s, first)
+        known.add(held_s)
+        self.mean_by_route[route] = known.mean_s
+        self.mean_s += RUN_WEIGHT * (held_s - self.mean_s)
+
+    def expected_s(self, route: str) -> float:
+        """Return the time of the next run of a route."""
+        return self.mean_by_route.get(route, self.mean_s)
+
+    def deviation_s(self, route: str) -> float:
+        """Return by how much runs of a route miss the expectation."""
+        known = self.by_route.get(route)
+        if known is None:
+            return FIRST_DEVIATION_SHARE * self.mean_s
+        return known.deviation_s
--- a/src/peridotpost/experiment/hosts.py
+++ b/src/peridotpost/experiment/hosts.py
@@ -93,14 +93,14 @@
     def _expire(self, order: forwarding.Order) -> None:
         if not order.settled and not order.started:
             self.queue.withdraw(order)
-            return_s = self.queue.return_s(order.rank)
+            return_s = self.queue.return_s(order, self.fleet.clock.now)
             order.settle(
                 forwarding.Refused(forwarding.Refusal.TOO_LATE, return_s)
             )
 
     def _apply(self, verdict: slots.Verdict) -> None:
         for order in verdict.refused:
-            return_s = self.queue.return_s(order.rank)
+            return_s = self.queue.return_s(order, self.fleet.clock.now)
             order.settle(forwarding.Refused(forwarding.Refusal.FULL, return_s))
         for order in verdict.started:
             self._run(order)
@@ -111,7 +111,7 @@
         route = fleet.routes[order.route]
         phase = fleet.ailing(self)
         if phase is not None and fleet.work_dice.random() < phase.sheds:
-            verdict = self.queue.release(fleet.clock.now)
+            verdict = self.queue.release(order, fleet.clock.now)
             order.settle(SHED)
             self._apply(verdict)
             return
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -178,6 +178,7 @@
         """Yield the figures that are read when the metrics page is."""
         queue = self.guard.queue
         gauge = metrics.Gauge
+        mean_s = queue.times.mean_s
         yield gauge(
             'config_version', 'Version in force', self.versions.version
         )
@@ -186,7 +187,7 @@
         yield gauge('members', 'Daemons reached', self.directory.members())
         yield gauge('target_running', 'Requests it runs', queue.running)
         yield gauge('target_waiting', 'Requests queued', len(queue.waiting))
-        yield gauge('target_run_seconds', 'Mean time of a run', queue.mean_s)
+        yield gauge('target_run_seconds', 'Mean time of a run', mean_s)
         in_flight = self.forwarder.in_flight
         yield gauge('requests_in_flight', 'Requests of callers', in_flight)
         reachable = self.feed.reachable is True
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -91,8 +91,8 @@
         if own.service == service:
             queue = self.guard.queue
             own.report(queue.load, deadlines.now())
-            own.run_s = queue.mean_s
-            own.run_by_route = queue.run_s
+            own.run_s = queue.times.mean_s
+            own.run_by_route = queue.times.mean_by_route
             yield own
         for peer in self.peers.values():
             stream = peer.stream
--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -77,6 +77,7 @@
     :param rank: of the route, 0 is the most urgent.
     :param last: no other target will be asked if this one refuses.
     :param done: gets the outcome, exactly once.
+    :param run_s: the time that its run was expected to take when it started.
     :param may_move: whether another target would be asked if this one
         were given up now.
     """
@@ -97,6 +98,7 @@
     route: str = ''
     settled: bool = False
     started: float = 0.0
+    run_s: float = 0.0
     received: float = 0.0
     may_move: Callable[[], bool] = _never
 
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -131,7 +131,6 @@
             )
             return
         now = deadlines.now()
-        order.received = now
         verdict = self.queue.arrive(order, now)
         if not verdict.started and not verdict.refused:
             self._expire_at(self.queue.hopeless_at(order), order)
@@ -186,7 +185,7 @@
     def _apply(self, verdict: slot_rules.Verdict) -> None:
         for order in verdict.refused:
             self._forget(order)
-            return_s = self.queue.return_s(order.rank)
+            return_s = self.queue.return_s(order, deadlines.now())
             self._log_declined(order, return_s)
             order.settle(forwarding.Refused(forwarding.Refusal.FULL, return_s))
         for order in verdict.started:
@@ -205,8 +204,8 @@
             'running': queue.running,
             'waiting': len(queue.waiting),
             'slots': queue.slots,
-            'wait_ms': round(queue.expected_wait_s(order.rank) * 1000),
-            'run_ms': round(queue.expected_run_s(order.route) * 1000),
+            'wait_ms': round(queue.expected_wait_s(order, now) * 1000),
+            'run_ms': round(queue.times.expected_s(order.route) * 1000),
             'objective_ms': round((order.objective - now) * 1000),
             'left_ms': round((order.deadline - now) * 1000),
             'return_ms': round(return_s * 1000),
@@ -244,7 +243,7 @@
             # The drain was acknowledged while the connection opened.
             connection.close()
             self._forget(order)
-            self._apply(self.queue.release(deadlines.now()))
+            self._apply(self.queue.release(order, deadlines.now()))
             order.settle(forwarding.Refused(forwarding.Refusal.LEAVING))
             return
         self._send(order, connection)
@@ -257,7 +256,7 @@
             # The process stood still between the decision and here.
             self.idle.add(connection)
             self._forget(order)
-            self._apply(self.queue.release(deadlines.now()))
+            self._apply(self.queue.release(order, deadlines.now()))
             order.settle(forwarding.Refused(forwarding.Refusal.TOO_LATE))
             return
         self.running[order] = connection
@@ -289,7 +288,7 @@
         if isinstance(outcome, forwarding.TargetAnswer):
             verdict = self.queue.finish(order, now)
         else:
-            verdict = self.queue.release(now)
+            verdict = self.queue.release(order, now)
         if isinstance(outcome, forwarding.Lost):
             self.reach.answer_lost(order)
         done(outcome)
@@ -306,7 +305,7 @@
             return
         self._forget(order)
         self.reach.refused(error)
-        self._apply(self.queue.release(deadlines.now()))
+        self._apply(self.queue.release(order, deadlines.now()))
         order.settle(
             forwarding.Refused(
                 forwarding.Refusal.UNREACHABLE, reachability.DOWN_PAUSE_S
@@ -349,7 +348,7 @@
             return
         if order not in self.running and order not in self.opening:
             self.queue.withdraw(order)
-            return_s = self.queue.return_s(order.rank)
+            return_s = self.queue.return_s(order, deadlines.now())
             self._log_declined(order, return_s)
             order.settle(
                 forwarding.Refused(forwarding.Refusal.TOO_LATE, return_s)
@@ -368,7 +367,7 @@
         if task is not None:
             task.cancel()
             self._forget(order)
-            self._apply(self.queue.release(deadlines.now()))
+            self._apply(self.queue.release(order, deadlines.now()))
             return
         connection = self.running.get(order)
         if connection is not None:
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -231,7 +231,7 @@
     def _reply(
         self, told: frames.Dispatch, outcome: forwarding.Outcome
     ) -> None:
-        run_s = self.guard.queue.expected_run_s(told.route)
+        run_s = self.guard.queue.times.expected_s(told.route)
         self.send(orders.reply_of(told.number, outcome, self._load(), run_s))
 
     def _load(self) -> int:
--- /dev/null
+++ b/testing/test_slots_mixed.py
@@ -0,0 +1,234 @@
+"""Routes of differing length and urgency at one target, under overload."""
+
+import dataclasses
+import heapq
+import random
+
+import pytest
+
+from peridotpost.decisions import slots
+from peridotpost.decisions import slotshare
+from peridotpost.model import forwarding
+
+SECONDS = 20.0
+SPREAD = 0.5
+"""Of the logarithm of a run's time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stream:
+    """Requests of one route; times in seconds."""
+
+    route: str
+    rank: int
+    per_s: float
+    run_s: float
+    objective_s: float
+    deadline_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Received:
+    """What the callers of one stream received."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+
+    @property
+    def in_time_share(self) -> float:
+        return self.in_time / self.asked
+
+    @property
+    def late_share(self) -> float:
+        """Of the answers."""
+        return self.late / max(1, self.in_time + self.late)
+
+
+CALLS = Stream('call', 1, 160, 0.03, 0.12, 0.4)
+SHEETS = Stream('sheet', 2, 70, 0.3, 0.8, 1.5)
+BOOKINGS = Stream('booking', 1, 60, 0.16, 0.5, 1.0)
+
+
+def order_of(
+    stream: Stream, number: int, now: float, last: bool = True
+) -> forwarding.Order:
+    return forwarding.Order(
+        number=number,
+        service='schedule',
+        attempt_id=b'',
+        method=b'GET',
+        target=b'/',
+        head=b'',
+        body=b'',
+        idempotent=True,
+        rank=stream.rank,
+        deadline=now + stream.deadline_s,
+        objective=now + stream.objective_s,
+        last=last,
+        done=lambda outcome: None,
+        route=stream.route,
+    )
+
+
+class Play:
+    """One target, its queue and the arrivals of some streams."""
+
+    def __init__(self, queue: slots.SlotQueue, streams: list[Stream]) -> None:
+        self.queue = queue
+        self.streams = {one.route: one for one in streams}
+        self.received = {one.route: Received() for one in streams}
+        self.ends: list[tuple[float, int, forwarding.Order]] = []
+        self.dice = random.Random(11)
+
+    def run(self) -> dict[str, Received]:
+        arrivals = sorted(
+            (at, route)
+            for route in self.streams
+            for at in self._arrivals(self.streams[route].per_s)
+        )
+        for number, (at, route) in enumerate(arrivals):
+            self._end_until(at)
+            self.received[route].asked += 1
+            asked = order_of(self.streams[route], number, at)
+            self._start(self.queue.arrive(asked, at).started, at)
+        return self.received
+
+    def _arrivals(self, per_s: float) -> list[float]:
+        found, at = [], 0.0
+        while at < SECONDS:
+            at += self.dice.expovariate(per_s)
+            found.append(at)
+        return found
+
+    def _end_until(self, until: float) -> None:
+        while self.ends and self.ends[0][0] <= until:
+            now, _, order = heapq.heappop(self.ends)
+            received = self.received[order.route]
+            if now <= order.objective:
+                received.in_time += 1
+            elif now <= order.deadline:
+                received.late += 1
+            self._start(self.queue.finish(order, now).started, now)
+
+    def _start(self, orders: list[forwarding.Order], now: float) -> None:
+        for one in orders:
+            mean_s = self.streams[one.route].run_s
+            drawn = self.dice.lognormvariate(-(SPREAD**2) / 2, SPREAD)
+            heapq.heappush(self.ends, (now + mean_s * drawn, one.number, one))
+
+
+def play(queue: slots.SlotQueue, *streams: Stream) -> dict[str, Received]:
+    return Play(queue, list(streams)).run()
+
+
+class ByHeads(slots.SlotQueue):
+    """Expects a wait by the number of those ahead and one mean of all."""
+
+    def expected_wait_s(
+        self, order: forwarding.Order, now: float, late: bool = False
+    ) -> float:
+        if self.running < self.slots:
+            return 0.0
+        place = (order.rank, late)
+        ahead = sum((one.rank, one.late) <= place for one in self.waiting)
+        return (ahead + 1) * self.times.mean_s / self.slots
+
+
+class InOrderOfArrival(slots.SlotQueue):
+    """Serves a rank in order of arrival."""
+
+    def _wait(self, order: forwarding.Order, late: bool) -> None:
+        objective, order.objective = order.objective, 0.0
+        super()._wait(order, late)
+        order.objective = objective
+
+
+def queue_of(kind: type[slots.SlotQueue], count: int = 12) -> slots.SlotQueue:
+    return kind(count, random.Random(1))
+
+
+def test_long_requests_are_not_kept_waiting_in_vain() -> None:
+    """Long requests wait half a second beside short calls and end late.
+
+    Calls of 30 ms and requests of 300 ms share a target at twice its load.
+    By heads and one mean, ten long ones ahead look like ten short ones;
+    the next one waits, and most of what is answered comes too late.
+    """
+    by_work = play(queue_of(slots.SlotQueue), CALLS, SHEETS)
+    by_heads = play(queue_of(ByHeads), CALLS, SHEETS)
+    assert by_work['sheet'].late_share < 0.25
+    assert by_heads['sheet'].late_share > 0.5
+    assert by_work['sheet'].in_time > 1.5 * by_heads['sheet'].in_time
+    assert by_work['call'].in_time_share > 0.9
+
+
+def test_a_short_objective_does_not_stand_behind_a_long_one() -> None:
+    """Calls of running requests are refused while fresh requests wait.
+
+    Both have the same rank.  In order of arrival a call with an objective
+    of 120 ms stands behind requests that have 500; it is refused, and the
+    request that made it fails after its run.
+    """
+    ahead = play(queue_of(slots.SlotQueue), CALLS, BOOKINGS)
+    in_line = play(queue_of(InOrderOfArrival), CALLS, BOOKINGS)
+    assert in_line['call'].in_time_share < 0.6
+    assert ahead['call'].in_time_share > 0.95
+    # The calls take two fifths of the slots; three quarters of the others
+    # fit in what is left.
+    assert ahead['booking'].in_time_share > 0.6
+    assert ahead['booking'].late_share < 0.15
+
+
+def test_late_ones_of_little_urgency_do_not_shut_out_urgent_ones(
+    randomness: random.Random,
+) -> None:
+    """A request fails though its call could wait: late ones took the places.
+
+    A few late ones may wait at a target.  Long requests took these places
+    first; a call that would have missed its objective by a little was
+    refused, and the request behind it failed.
+    """
+    queue = slots.SlotQueue(4, randomness)
+    runs = [order_of(CALLS, number, 0.0) for number in range(4)]
+    for one in runs:
+        queue.arrive(one, 0.0)
+    slow = dataclasses.replace(SHEETS, objective_s=0.01)
+    first = order_of(slow, 10, 0.0)
+    assert queue.arrive(first, 0.0) == slots.Verdict([], [])
+    assert queue.arrive(order_of(slow, 11, 0.0), 0.0).refused
+    call = order_of(dataclasses.replace(CALLS, objective_s=0.01), 12, 0.0)
+    assert queue.arrive(call, 0.0) == slots.Verdict([], [])
+    assert queue.finish(runs[0], 0.03).started == [call]
+
+
+@pytest.mark.parametrize(
+    ('turn', 'expected'),
+    [
+        pytest.param(slotshare.Turn(0, False), 0.0, id='nothing before'),
+        pytest.param(slotshare.Turn(1, False, -3), 0.0, id='itself left out'),
+        pytest.param(
+            slotshare.Turn(1, False, -1), 0.125, id='shorter objective'
+        ),
+        pytest.param(slotshare.Turn(1, True), 0.25, id='in time before late'),
+        pytest.param(slotshare.Turn(2, False), 0.5, id='more urgent, late'),
+        pytest.param(slotshare.Turn(9, False), 0.95, id='never all'),
+    ],
+)
+def test_the_share_of_the_more_urgent(
+    turn: slotshare.Turn, expected: float
+) -> None:
+    shares = slotshare.SlotShares()
+    shares.started(slotshare.Turn(1, False, -3), 0.5, 10.0)
+    shares.started(slotshare.Turn(1, False, -1), 0.5, 10.0)
+    shares.started(slotshare.Turn(1, True), 1.0, 10.0)
+    shares.started(slotshare.Turn(8, False), 5.0, 10.0)
+    found = shares.before(turn, 4, 10.0)
+    assert found == pytest.approx(expected)
+
+
+def test_the_share_fades() -> None:
+    shares = slotshare.SlotShares()
+    shares.started(slotshare.Turn(0, False), 2.0, 0.0)
+    later = shares.before(slotshare.Turn(1, False), 4, 3.0)
+    assert 0.0 < later < 0.03
