A late record does not cut the stream to a restarted peer

The target was at work; the caller got 502. Ruled out: the stop itself (all in flight was served), silence (no ping was due), the guard (it had started the run 1 ms before the cut). Change: a stream knows the process on its other side by its greeting; only one to an older process is closed.

--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 import dataclasses
 import random
+from typing import TypeGuard
 
 from peridotpost.decisions import selection
 from peridotpost.kernel import counters
@@ -156,7 +157,7 @@
             peer.record = record
             peer.next_try = 0.0
             peer.pause_s = FIRST_PAUSE_S
-            if peer.stream is not None:
+            if _is_of_before(peer.stream, record):
                 # A host that lost power says nothing on the old stream;
                 # its new daemon shows that nothing will come on it.
                 peer.stream.close()
@@ -186,6 +187,8 @@
                 # Another daemon has the address now.
                 stream.close()
                 return
+            if told.incarnation > peer.record.incarnation:
+                peer.record = _record(told)
         if not stream.dialled:
             for older in [
                 one for one in self.accepted if one.host == told.host
@@ -330,6 +333,19 @@
             self.learn(_record(one))
 
 
+def _is_of_before(
+    stream: peers.PeerStream | None, record: instances.HostRecord
+) -> TypeGuard[peers.PeerStream]:
+    """Whether a stream is to a process before the one of `record`.
+
+    A restarted daemon is often dialled before its record is heard of; cut
+    for that record, the stream would lose what was just sent on it.  Of a
+    stream whose other side has not said who it is nothing is known: if
+    nothing comes on it, it is given up for its silence.
+    """
+    return stream is not None and 0 < stream.incarnation < record.incarnation
+
+
 def _hello(record: instances.HostRecord, version: int) -> frames.Hello:
     return frames.Hello(
         record.host,
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -67,6 +67,8 @@
 
     :param zone: the other side's, where this side dialled and so sends
         dispatches; None where the other side did.
+    :param incarnation: of the other side's process; 0 until it said who it
+        is.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         self.sent: dict[int, forwarding.Order] = {}
         self.received: dict[int, forwarding.Order] = {}
         self.host = ''
+        self.incarnation = 0
         self.received_at = deadlines.now()
         self.owed_since = 0.0
         self.pinged_at = 0.0
@@ -210,6 +213,7 @@
 
     def _met(self, told: frames.Hello) -> None:
         self.host = told.host
+        self.incarnation = told.incarnation
         self.slow = told.slow
         if not self.dialled:
             self.zone = told.availability_zone
--- a/testing/test_peer_streams.py
+++ b/testing/test_peer_streams.py
@@ -1,6 +1,9 @@
 """Streams between proxies that stand still, go silent or are replaced."""
 
 import asyncio
+import dataclasses
+
+import pytest
 
 from peridotpost.model import forwarding
 from peridotpost.proxy import deadlines
@@ -156,3 +159,52 @@
         stream.check(stream.pinged_at + peers.DEAD_S * 1.1)
         assert not outcomes
         assert not stream.transport.is_closing()
+
+
+@pytest.mark.parametrize(
+    ('newer_by', 'kept'),
+    [
+        pytest.param(0, True, id='the stream is to that process already'),
+        pytest.param(1, False, id='the stream is to the process before'),
+    ],
+)
+async def test_a_late_record_does_not_cut_the_stream_to_a_restarted_peer(
+    newer_by: int, kept: bool
+) -> None:
+    """A caller gets 502 for a request that its target was running.
+
+    Hosts are restarted in turn.  A daemon dials a peer that is just back
+    and sends it requests; then it hears of the peer's new record, by the
+    store or another peer, takes its stream for one to the process before,
+    and closes it.  What ran by way of it is cut.
+    """
+    async with proxies.pair() as (_, first, second):
+        directory = first.proxy.directory
+        peer = directory.peers['b']
+        stream = peer.stream
+        assert stream is not None
+        await conditions.until(lambda: stream.incarnation > 0)
+        record = second.proxy.own
+        peer.record = dataclasses.replace(
+            record, incarnation=record.incarnation - 1
+        )
+        told = dataclasses.replace(
+            record, incarnation=record.incarnation + newer_by
+        )
+        directory.learn(told, recorded=True)
+        assert peer.record == told
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert stream.closed is not kept
+
+
+async def test_a_stream_tells_of_the_peers_new_process() -> None:
+    async with proxies.pair() as (_, first, second):
+        peer = first.proxy.directory.peers['b']
+        stream = peer.stream
+        assert stream is not None
+        await conditions.until(lambda: stream.incarnation > 0)
+        peer.record = dataclasses.replace(peer.record, incarnation=1)
+        first.proxy.directory.met(stream, second.proxy.directory.hello(False))
+        assert peer.record == second.proxy.own
+        assert peer.stream is stream
