Wider margin on run times; far targets are asked second below 0.9 of their slots

Hypothesis: with few slots a target one long run is a larger part of the wait, so one mean deviation is too little; more refusals of a first choice must then not become crossings.

--- a/src/peridotpost/decisions/returning.py
+++ b/src/peridotpost/decisions/returning.py
@@ -4,9 +4,9 @@
 back after the time that they were told, as the same request under a new
 attempt id, among fresh ones.  Taken for fresh ones,
 
-- they draw a new part of a split.  Of a part of three quarters that refused
-  most of what it got, the other part took over so much that the first one's
-  share of what was run fell to .41, against the operators' weights;
+- they draw a new part of a split.  While a part of three quarters refuses
+  four in five, the other part gets not a quarter of the callers but more
+  than two fifths, against the operators' weights;
 - they are given a whole objective again, and are served, late for their
   callers, in slots in which fresh ones would have been in time: at 1.3
   times the load of one service a fifth of its answers was late, a
--- a/src/peridotpost/decisions/selection.py
+++ b/src/peridotpost/decisions/selection.py
@@ -40,7 +40,10 @@
 """At 0.7 a surge sent over half as many kilobytes more to other zones, and
 callers were served no better: credit .936 against .941 in one fleet, .950
 against .952 in another (model of an experiment, two seeds each)."""
-FULL = 1.0
+FULL = 0.9
+"""Load above which a target of another zone is not asked after a refusal.
+At 1.0 a surge sent 24% more kilobytes to other zones, and callers were
+served the same: credit .945 and .945 (model of an experiment, four seeds)."""
 MOST_COMPARED = 8
 DRAW_POWER = 3
 """A target that takes twice as long gets an eighth of the requests."""
--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -43,9 +43,11 @@
 from peridotpost.decisions import slotshare
 from peridotpost.model import forwarding
 
-MARGIN = 1.0
-"""Mean deviations of a route's runs: about four in five end within.
-Between 1 and 2.5 callers are served alike."""
+MARGIN = 1.5
+"""Mean deviations of a route's runs: nearly nine in ten end within.  With 12
+slots a target, callers are served alike between 1 and 2.5; with 6 slots,
+look-ups got .785 of their worth at 1 and .806 at 2, as one long run is a
+larger part of the wait."""
 RETURN_SPREAD = 0.5
 MIN_RETURN_S = 0.05
 MAX_RETURN_S = 5.0
--- a/testing/test_returning.py
+++ b/testing/test_returning.py
@@ -54,28 +54,45 @@
     assert refused.came('f10', 'issue', 1.1) is not None
 
 
-def run_of_split(remembering: bool) -> float:
-    """Play a split whose larger part refuses four in five; return its share.
+class SplitUnderLoad:
+    """A split whose larger part refuses four in five.
 
-    Each refused caller comes again once.
+    Each refused caller comes again once, after some others; then it is
+    served, so that what counts is where it ends.
     """
-    dice = random.Random(3)
-    splitter = split.Splitter()
-    refused = returning.RefusedRequests()
-    asked: collections.Counter[str] = collections.Counter()
-    comes_again: list[str] = []
-    for number in range(4000):
-        name = str(number)
-        if comes_again and dice.random() < 0.5:
-            name = comes_again.pop(0)
-        known = refused.came(name, 'issue', 0.0) if remembering else None
-        service = known.service if known else splitter.pick('issue', SHARES)
-        asked[service] += 1
-        if service == 'stable' and dice.random() < 0.8 and known is None:
-            comes_again.append(name)
-            found = returning.FirstAttempt('issue', service, 0.0, 1.0)
-            refused.refused(name, found)
-    return asked['stable'] / asked.total()
+
+    def __init__(self, remembering: bool) -> None:
+        self.remembering = remembering
+        self.dice = random.Random(3)
+        self.splitter = split.Splitter()
+        self.refused = returning.RefusedRequests()
+        self.waiting: collections.deque[str] = collections.deque()
+        self.ended: collections.Counter[str] = collections.Counter()
+
+    def play(self) -> float:
+        """Return the share of the callers that end at the smaller part."""
+        for number in range(4000):
+            service = self.ask(str(number))
+            if service == 'stable' and self.dice.random() < 0.8:
+                self.refuse(str(number), service)
+            else:
+                self.ended[service] += 1
+            if len(self.waiting) > 20:
+                self.ended[self.ask(self.waiting.popleft())] += 1
+        while self.waiting:
+            self.ended[self.ask(self.waiting.popleft())] += 1
+        return self.ended['trial'] / self.ended.total()
+
+    def ask(self, name: str) -> str:
+        known = self.refused.came(name, 'issue', 0.0)
+        if self.remembering and known is not None:
+            return known.service
+        return self.splitter.pick('issue', SHARES)
+
+    def refuse(self, name: str, service: str) -> None:
+        self.waiting.append(name)
+        attempt = returning.FirstAttempt('issue', service, 0.0, 1.0)
+        self.refused.refused(name, attempt)
 
 
 def test_a_refused_request_does_not_move_to_another_part() -> None:
@@ -85,7 +102,10 @@
     comes again and draws anew; one in four lands at the other part, which
     then gets more than its quarter of the callers.
     """
-    assert run_of_split(remembering=True) > run_of_split(remembering=False)
+    assert SplitUnderLoad(remembering=True).play() == pytest.approx(
+        0.25, abs=0.03
+    )
+    assert SplitUnderLoad(remembering=False).play() > 0.35
 
 
 async def test_a_part_is_kept_by_a_caller_that_comes_again() -> None:
