--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -275,13 +275,13 @@
         incident = time.time_ns()
         names = list(fingerprints)
         self.log.state('crash', fingerprints=names, incident=incident)
-        self.forwarder.crashed(names, self.own.host, str(incident))
+        self.forwarder.recognition.crashed(names, self.own.host, str(incident))
         self.directory.broadcast(frames.Crash(incident, names))
 
     def _noticed(self, notice: directories.Notice) -> None:
         frame = notice.frame
         if isinstance(frame, frames.Crash):
-            self.forwarder.crashed(
+            self.forwarder.recognition.crashed(
                 frame.fingerprints, notice.stream.host, str(frame.incident)
             )
 
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -6,7 +6,6 @@
 
 from peridotpost.decisions import attempts
 from peridotpost.decisions import budget as budget_rules
-from peridotpost.decisions import poison
 from peridotpost.decisions import returning
 from peridotpost.decisions import selection
 from peridotpost.decisions import split
@@ -20,6 +19,7 @@
 from peridotpost.proxy import listener
 from peridotpost.proxy import names
 from peridotpost.proxy import problems
+from peridotpost.proxy import recognition
 from peridotpost.proxy import requestlog
 
 NO_CONFIG_RETURN_S = 0.5
@@ -64,8 +64,7 @@
         self.counts = counts
         self.log = requestlog.RequestLog(log, lambda: self.config)
         self.splitter = split.Splitter()
-        self.poison = poison.PoisonList()
-        self.refused = returning.RefusedRequests()
+        self.recognition = recognition.Recognition()
         self.config: mesh.MeshConfig | None = None
         self.caller_head = (
             header_names.caller + b': ' + caller_service.encode() + b'\r\n'
@@ -96,7 +95,7 @@
         if route is None:
             self._refuse_early(message, respond, 404, 'no-route')
             return None
-        first = self._first_attempt(message, route)
+        first = self.recognition.first_attempt(message, route)
         service = self._part(route, first)
         exchange = exchanges.Exchange(self, message, route, service, respond)
         self._set_times(exchange)
@@ -107,7 +106,7 @@
             exchange.objective -= exchange.started - first.at
         exchange.head = bytes(message.head) + self.caller_head
         self.in_flight += 1
-        if self._is_poison(exchange):
+        if self.recognition.crashes_targets(message):
             exchange.retry_after_s = POISON_RETURN_S
             self._refuse(exchange, forwarding.Refusal.POISON)
             return None
@@ -125,21 +124,6 @@
         self.counts.add('requests.abandoned')
         self._withdraw(exchange)
 
-    def crashed(
-        self, fingerprints: Iterable[str], target: str, incident: str
-    ) -> None:
-        """Note requests that were running when a target crashed."""
-        self.poison.crashed(fingerprints, target, incident, deadlines.now())
-
-    def _first_attempt(
-        self, message: http1.Message, route: mesh.PathRoute
-    ) -> returning.FirstAttempt | None:
-        """Return what is known of a request that was refused before."""
-        if not self.refused.held:
-            return None
-        name = _fingerprint(message)
-        return self.refused.came(name, route.name, deadlines.now())
-
     def _part(
         self, route: mesh.PathRoute, first: returning.FirstAttempt | None
     ) -> str:
@@ -160,13 +144,6 @@
             exchange.attempts.deadline = exchange.deadline
         exchange.objective = min(exchange.objective, exchange.deadline)
 
-    def _is_poison(self, exchange: exchanges.Exchange) -> bool:
-        if not self.poison.suspects:
-            return False
-        name = _fingerprint(exchange.message)
-        now = deadlines.now()
-        return self.poison.names_refused_for_s((name,), now) > 0
-
     def _dispatch(self, exchange: exchanges.Exchange) -> None:
         """Send to the best target that was not tried; refuse without."""
         now = deadlines.now()
@@ -308,8 +285,8 @@
         self, exchange: exchanges.Exchange, outcome: forwarding.TargetAnswer
     ) -> None:
         self._end(exchange)
-        if self.poison.suspects and outcome.status < attempts.FAILED_STATUS:
-            self.poison.cleared((_fingerprint(exchange.message),))
+        if outcome.status < attempts.FAILED_STATUS:
+            self.recognition.was_answered(exchange.message)
         self.log.answered(exchange, outcome.status)
         self._observe(exchange, outcome.status)
         exchange.respond(
@@ -335,15 +312,7 @@
         self, exchange: exchanges.Exchange, reason: forwarding.Refusal
     ) -> None:
         self._end(exchange)
-        self.refused.refused(
-            _fingerprint(exchange.message),
-            returning.FirstAttempt(
-                exchange.route.name,
-                exchange.service,
-                exchange.first_at,
-                exchange.patient_until,
-            ),
-        )
+        self.recognition.was_refused(exchange)
         self.log.ended(exchange, 'refused', '', reason.value)
         self._own_answer(
             exchange,
@@ -400,7 +369,3 @@
         if self.observe is not None:
             elapsed = deadlines.now() - exchange.started
             self.observe(exchange, status, elapsed)
-
-
-def _fingerprint(message: http1.Message) -> str:
-    return poison.fingerprint(message.method, message.target, message.body)
--- a/testing/test_returning.py
+++ b/testing/test_returning.py
@@ -142,7 +142,9 @@
         host = await mesh_of.add('a', slots=1)
         await mesh_of.ready()
         assert (await host.ask('/read/hold', attempt='a1')).status == 503
-        (first_attempt,) = host.proxy.forwarder.refused.held.values()
+        (first_attempt,) = (
+            host.proxy.forwarder.recognition.refused.held.values()
+        )
         await host.announce()
         await mesh_of.ready()
         again = asyncio.ensure_future(host.ask('/read/hold', attempt='a2'))
