peridot-experiment bound: the most that any policy could earn, as a linear program

The model's callers that come again keep the objective of their first attempt, as the program has it.

--- a/src/peridotpost/cli/experiment.py
+++ b/src/peridotpost/cli/experiment.py
@@ -1,10 +1,12 @@
 """``peridot-experiment``: play load against the decisions, in a model."""
 
+import dataclasses
 import json
 import pathlib
 
 import click
 
+from peridotpost.experiment import bound as bounds
 from peridotpost.experiment import plot
 from peridotpost.experiment import policies
 from peridotpost.experiment import results
@@ -81,6 +83,49 @@
     _show(file, names, seeds, as_json, picture)
 
 
+@main.command(
+    epilog='Example: peridot-experiment bound '
+    'examples/experiments/called-service.json --seed 1 --seed 2'
+)
+@scenario_argument
+@seeds_option
+@json_option
+def bound(file: pathlib.Path, seeds: tuple[int, ...], as_json: bool) -> None:
+    """Tell the most that any policy could earn, and what is earned."""
+    try:
+        scenario = scenarios.load(file)
+    except errors.PeridotError as error:
+        raise click.ClickException(str(error)) from error
+    found = bounds.intervals(scenario)
+    played = [
+        _play(scenario, policies.AS_BUILT, seed).credit_share for seed in seeds
+    ]
+    earned = sum(played) / len(played)
+    if as_json:
+        shown = [dataclasses.asdict(one) for one in found]
+        click.echo(json.dumps({'intervals': shown, 'earned': earned}))
+    else:
+        click.echo(_bound_table(found, earned))
+
+
+def _bound_table(found: list[bounds.Interval], earned: float) -> str:
+    lines = [f'{"from s":>7} {"to s":>6} {"bound":>6}  served; what binds']
+    for one in found:
+        served = ', '.join(f'{k} {one.served[k]:.2f}' for k in one.served)
+        binds = ', '.join(
+            f'{k} ({one.worth_of_slot[k]:.1f} a slot)'
+            for k in one.worth_of_slot
+        )
+        lines.append(
+            f'{one.start_s:>7.1f} {one.end_s:>6.1f} {one.share:>6.3f}  '
+            f'{served}; {binds or "nothing"}'
+        )
+    lines.append(
+        f'bound {bounds.credit_share(found):.3f}, earned as built {earned:.3f}'
+    )
+    return '\n'.join(lines)
+
+
 def _show(
     file: pathlib.Path,
     names: tuple[str, ...],
--- a/src/peridotpost/experiment/ingress.py
+++ b/src/peridotpost/experiment/ingress.py
@@ -46,8 +46,13 @@
         route: scenarios.Route,
         rank: int,
         done: Callable[[forwarding.Outcome], None],
+        first_at: float,
     ) -> None:
-        """Let an ingress take a request; `done` is called once."""
+        """Let an ingress take a request; `done` is called once.
+
+        :param first_at: when its caller first asked; the ingress knows it
+            of those that it refused.
+        """
         now = self.world.clock.now
         deadline = now + route.deadline_ms / MS_IN_S
         asking = Asking(
@@ -55,7 +60,7 @@
             route,
             rank,
             deadline,
-            min(deadline, now + route.objective_ms / MS_IN_S),
+            min(deadline, first_at + route.objective_ms / MS_IN_S),
             done,
             attempts.Attempts(route.idempotent, route.max_attempts, deadline),
         )
@@ -89,6 +94,8 @@
             result = self.world.found[asking.route.name]
             result.crossings += 1
             result.far_kilobytes += asking.route.kilobytes
+            if len(asking.tried) == 1:
+                result.far_first_kilobytes += asking.route.kilobytes
         way_s = way_ms / MS_IN_S
         target = self._host(asking.route.service, candidate.host)
         order = self._order(asking, candidate, target, way_s)
--- a/src/peridotpost/experiment/results.py
+++ b/src/peridotpost/experiment/results.py
@@ -12,7 +12,8 @@
     """Outcomes of one kind of request, for callers who may come back.
 
     :param credit: earned of `owed`, by the route's worth.
-    :param crossings: dispatches to another zone.
+    :param crossings: dispatches to another zone; `far_kilobytes` are theirs,
+        `far_first_kilobytes` those of first choices among them.
     """
 
     in_time: int = 0
@@ -25,6 +26,7 @@
     repeats: int = 0
     crossings: int = 0
     far_kilobytes: float = 0.0
+    far_first_kilobytes: float = 0.0
     latency: histogram.Histogram = dataclasses.field(
         default_factory=histogram.Histogram
     )
@@ -62,6 +64,10 @@
     def far_kilobytes(self) -> float:
         return sum(one.far_kilobytes for one in self.routes.values())
 
+    @property
+    def far_first_kilobytes(self) -> float:
+        return sum(one.far_first_kilobytes for one in self.routes.values())
+
     def to_json(self) -> dict[str, object]:
         """Return plain data; times in milliseconds."""
         return {
--- a/src/peridotpost/experiment/simulation.py
+++ b/src/peridotpost/experiment/simulation.py
@@ -106,7 +106,7 @@
             self._count(result, route, outcome, self.clock.now - started)
             done(good)
 
-        self.ingresses.ask(host, route, route.rank, ended)
+        self.ingresses.ask(host, route, route.rank, ended, started)
 
     def _count(
         self,
@@ -159,7 +159,11 @@
 
     def come(self) -> None:
         self.fleet.ingresses.ask(
-            self.host, self.route, self.route.rank, self.ended
+            self.host,
+            self.route,
+            self.route.rank,
+            self.ended,
+            self.first_at,
         )
 
     def ended(self, outcome: forwarding.Outcome) -> None:
