--- a/src/peridotpost/experiment/bound.py
+++ b/src/peridotpost/experiment/bound.py
@@ -5,7 +5,8 @@
 it a second.  What is served of each route is chosen for the most worth.
 Waiting, variance of runs, ways through the network and choices that turn
 out wrong are left out, so no policy earns more, and a good one comes near
-where arrivals are many.
+where arrivals are many.  What comes in the last moments is run after the
+end: a play of a few seconds can earn some hundredths more.
 
 What binds is told by the program's dual: what a slot more of a service
 would earn in a second.
