--- a/testing/test_slots.py
+++ b/testing/test_slots.py
@@ -7,40 +7,15 @@
 
 from peridotpost.decisions import slots
 from peridotpost.model import forwarding
-
-
-def order(
-    number: int,
-    now: float = 0.0,
-    rank: int = 1,
-    objective_s: float = 0.2,
-    deadline_s: float = 1.0,
-    last: bool = False,
-) -> forwarding.Order:
-    return forwarding.Order(
-        number=number,
-        service='register',
-        attempt_id=b'',
-        method=b'GET',
-        target=b'/',
-        head=b'',
-        body=b'',
-        idempotent=True,
-        rank=rank,
-        deadline=now + deadline_s,
-        objective=now + objective_s,
-        last=last,
-        done=lambda outcome: None,
-        route=f'rank-{rank}',
-    )
+from testing import orders
 
 
 def test_the_more_urgent_is_served_first(randomness: random.Random) -> None:
     queue = slots.SlotQueue(1, randomness)
-    first = order(0)
+    first = orders.order(0)
     queue.arrive(first, 0.0)
     for number, rank in enumerate([2, 0, 1, -1], start=1):
-        queue.arrive(order(number, rank=rank, last=True), 0.0)
+        queue.arrive(orders.order(number, rank=rank, last=True), 0.0)
     served = []
     running = first
     for turn in range(4):
@@ -65,8 +40,8 @@
 ) -> None:
     queue = slots.SlotQueue(2, randomness)
     for number in range(2 + waiting):
-        queue.arrive(order(number, deadline_s=60, last=True), 0.0)
-    asked = order(99, last=last)
+        queue.arrive(orders.order(number, deadline_s=60, last=True), 0.0)
+    asked = orders.order(99, last=last)
     refused = queue.arrive(asked, 0.0).refused
     assert (refused == []) is taken
 
@@ -75,9 +50,9 @@
     randomness: random.Random,
 ) -> None:
     queue = slots.SlotQueue(1, randomness)
-    first = order(0)
+    first = orders.order(0)
     queue.arrive(first, 0.0)
-    late = order(1, deadline_s=0.3, last=True)
+    late = orders.order(1, deadline_s=0.3, last=True)
     queue.arrive(late, 0.0)
     verdict = queue.finish(first, 0.29)
     assert verdict.refused == [late]
@@ -87,8 +62,8 @@
 def test_return_times_are_spread(randomness: random.Random) -> None:
     queue = slots.SlotQueue(1, randomness)
     for number in range(20):
-        queue.arrive(order(number, deadline_s=60, last=True), 0.0)
-    asked = order(99, deadline_s=60, last=True)
+        queue.arrive(orders.order(number, deadline_s=60, last=True), 0.0)
+    asked = orders.order(99, deadline_s=60, last=True)
     told = [queue.return_s(asked, 0.0) for _ in range(50)]
     expected = queue.expected_wait_s(asked, 0.0)
     assert len(set(told)) > 40
@@ -116,8 +91,8 @@
     ends: list[tuple[float, int, forwarding.Order]] = []
     now, number = 0.0, 0
 
-    def started(orders: list[forwarding.Order]) -> None:
-        for one in orders:
+    def started(taken: list[forwarding.Order]) -> None:
+        for one in taken:
             duration = run_s * source.lognormvariate(-0.3, 0.8)
             heapq.heappush(ends, (now + duration, one.number, one))
 
@@ -131,7 +106,7 @@
         number += 1
         rank = source.choice([0, 1, 1, 2, 2, 2])
         result.asked[rank] += 1
-        asked = order(number, now, rank=rank, objective_s=0.25)
+        asked = orders.order(number, now, rank=rank, objective_s=0.25)
         started(queue.arrive(asked, now).started)
     return result
 
@@ -170,13 +145,13 @@
     that comes later and can make its objective goes before it.
     """
     queue = slots.SlotQueue(1, randomness)
-    first = order(0)
+    first = orders.order(0)
     queue.arrive(first, 0.0)
     for number in range(1, 9):
-        queue.arrive(order(number, last=True), 0.0)
+        queue.arrive(orders.order(number, last=True), 0.0)
     assert sum(one.late for one in queue.waiting) == 1
     (second,) = queue.finish(first, 0.06).started
-    fresh = order(99, now=0.07)
+    fresh = orders.order(99, now=0.07)
     assert queue.arrive(fresh, 0.07) == slots.Verdict([], [])
     started = [second]
     now = 0.07
--- a/testing/test_slots_mixed.py
+++ b/testing/test_slots_mixed.py
@@ -9,6 +9,7 @@
 from peridotpost.decisions import slots
 from peridotpost.decisions import slotshare
 from peridotpost.model import forwarding
+from testing import orders
 
 SECONDS = 20.0
 SPREAD = 0.5
@@ -50,23 +51,14 @@
 BOOKINGS = Stream('booking', 1, 60, 0.16, 0.5, 1.0)
 
 
-def order_of(
-    stream: Stream, number: int, now: float, last: bool = True
-) -> forwarding.Order:
-    return forwarding.Order(
-        number=number,
-        service='schedule',
-        attempt_id=b'',
-        method=b'GET',
-        target=b'/',
-        head=b'',
-        body=b'',
-        idempotent=True,
-        rank=stream.rank,
-        deadline=now + stream.deadline_s,
-        objective=now + stream.objective_s,
-        last=last,
-        done=lambda outcome: None,
+def order_of(stream: Stream, number: int, now: float) -> forwarding.Order:
+    return orders.order(
+        number,
+        now,
+        stream.rank,
+        stream.objective_s,
+        stream.deadline_s,
+        last=True,
         route=stream.route,
     )
 
@@ -131,8 +123,8 @@
         self._start(verdict.started, now)
         self._refuse(verdict.refused, now)
 
-    def _refuse(self, orders: list[forwarding.Order], now: float) -> None:
-        for one in orders:
+    def _refuse(self, taken: list[forwarding.Order], now: float) -> None:
+        for one in taken:
             before = self.arrival_of[one.number]
             if self.retries and before.at == before.first_at:
                 at = now + self.queue.return_s(one, now)
@@ -158,8 +150,8 @@
             self._start(verdict.started, now)
             self._refuse(verdict.refused, now)
 
-    def _start(self, orders: list[forwarding.Order], now: float) -> None:
-        for one in orders:
+    def _start(self, taken: list[forwarding.Order], now: float) -> None:
+        for one in taken:
             mean_s = self.streams[one.route].run_s
             drawn = self.dice.lognormvariate(-(SPREAD**2) / 2, SPREAD)
             heapq.heappush(self.ends, (now + mean_s * drawn, one.number, one))
