--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -53,3 +53,26 @@
     one = slow()
     one.store_answers(True, 5.0)
     assert one.reads_now(5.0)
+
+
+SILENCE_NOTICED_S = 1.5
+"""How late a daemon notices that the store has gone silent on it: 1.0 to
+1.5 s in the logs of a fleet of 61."""
+IN_FORCE_S = 2.0
+"""From the store's acknowledgement of a version until it is in force."""
+
+
+def test_slow_links_are_current_when_the_fast_ones_lose_the_store() -> None:
+    """Callers are served by a version that was replaced three seconds ago.
+
+    The store goes silent on all fast hosts of a zone and answers the slow
+    ones.  The fast ones say that they follow it until they notice; a version
+    comes in that time.  The slow ones wait for two beats more and then read.
+    """
+    slow = following.Following(5.0, heard_at=0.0)
+    slow.store_answers(True, 0.0)
+    slow.heard(SILENCE_NOTICED_S)
+    acknowledged = SILENCE_NOTICED_S - following.BEAT_S / 2
+    looks = [step * following.BEAT_S for step in range(10)]
+    read_at = next(at for at in looks if slow.reads_now(at))
+    assert read_at <= acknowledged + IN_FORCE_S
