A target that is just ending is seen to end

Asked between the two whether it still listens, the kernel said yes; the crash was taken for a lost answer and not counted. Change: a connection opened after a lost answer has to stand for 50 ms; one that is reset at once counts as refused. The new test fails without it.

--- a/src/peridotpost/calls/connections.py
+++ b/src/peridotpost/calls/connections.py
@@ -5,6 +5,7 @@
 a connection for each request.
 """
 
+import asyncio
 import collections
 from collections.abc import Collection
 import dataclasses
@@ -26,6 +27,11 @@
 CONNECT_S = 1.0
 """On loopback only a full backlog takes any time; the kernel tries again
 after a second."""
+ENDING_S = 0.05
+"""How long a connection has to stand that is opened after an answer was
+lost.  A process that ends closes its connections first and the socket on
+which it listens within a millisecond or so, which resets what waits there;
+the rest is for a busy host."""
 MAX_DIGITS = 18
 HOP_HEADERS = frozenset(
     {
@@ -258,13 +264,25 @@
                 stream.close()
 
     async def refuses(self, port: int) -> bool:
-        """Whether nobody listens at `port` any more."""
+        """Whether nobody listens at `port` any more, or is about to stop.
+
+        A connection that is closed at once was waiting for a process that
+        has ended: a target that lives takes it.
+        """
         try:
             stream = await self._connect(port)
         except ConnectFailed as error:
             return isinstance(error.__cause__, ConnectionRefusedError)
-        stream.close()
-        return False
+        closed = asyncio.Event()
+        stream.set_close_callback(closed.set)
+        try:
+            async with asyncio.timeout(ENDING_S):
+                await closed.wait()
+        except TimeoutError:
+            return False
+        finally:
+            stream.close()
+        return True
 
     def _take_idle(self, port: int, now: float) -> iostream.IOStream | None:
         kept = self.idle.get(port)
--- a/testing/test_target_contract.py
+++ b/testing/test_target_contract.py
@@ -461,6 +461,34 @@
         accepted.close()
 
 
+async def test_a_target_that_is_just_ending_is_seen_to_end() -> None:
+    """A request crashes every target though crashes are remembered.
+
+    A process that ends closes its connections before the socket on which it
+    listens.  Asked between the two whether it still listens, the kernel
+    says yes, the crash is taken for a lost answer, and the same request is
+    sent to the next target.
+    """
+    pool = connections.ConnectionPool(counters.Counters())
+    listening = socket.create_server(('127.0.0.1', 0))
+    listening.setblocking(False)
+    port = listening.getsockname()[1]
+    asked = asyncio.ensure_future(pool.refuses(port))
+    connected = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_reader(listening, connected.set)
+    await connected.wait()
+    loop.remove_reader(listening)
+    listening.close()
+    assert await asked
+
+
+async def test_a_target_that_goes_on_listening_does_not_refuse() -> None:
+    pool = connections.ConnectionPool(counters.Counters())
+    with socket.create_server(('127.0.0.1', 0)) as listening:
+        assert not await pool.refuses(listening.getsockname()[1])
+
+
 async def test_a_name_is_looked_up_and_a_closed_port_refuses() -> None:
     with socket.create_server(('127.0.0.1', 0)) as listening:
         port = listening.getsockname()[1]
