--- a/src/peridotpost/calls/connections.py
+++ b/src/peridotpost/calls/connections.py
@@ -267,22 +267,32 @@
         """Whether nobody listens at `port` any more, or is about to stop.
 
         A connection that is closed at once was waiting for a process that
-        has ended: a target that lives takes it.
+        has ended, or for one that takes no more connections; the next one
+        tells which.
         """
         try:
-            stream = await self._connect(port)
+            if not await self._stands(port):
+                (await self._connect(port)).close()
         except ConnectFailed as error:
             return isinstance(error.__cause__, ConnectionRefusedError)
+        return False
+
+    async def _stands(self, port: int) -> bool:
+        """Whether a new connection is still open after ``ENDING_S``.
+
+        :raises ConnectFailed: it can't be opened.
+        """
+        stream = await self._connect(port)
         closed = asyncio.Event()
         stream.set_close_callback(closed.set)
         try:
             async with asyncio.timeout(ENDING_S):
                 await closed.wait()
         except TimeoutError:
-            return False
+            return True
         finally:
             stream.close()
-        return True
+        return False
 
     def _take_idle(self, port: int, now: float) -> iostream.IOStream | None:
         kept = self.idle.get(port)
--- a/testing/test_target_contract.py
+++ b/testing/test_target_contract.py
@@ -489,6 +489,22 @@
         assert not await pool.refuses(listening.getsockname()[1])
 
 
+async def test_a_target_that_resets_what_is_too_much_does_not_refuse() -> None:
+    """A target is full of connections and resets the next; it still runs."""
+    pool = connections.ConnectionPool(counters.Counters())
+    listening = socket.create_server(('127.0.0.1', 0))
+    listening.setblocking(False)
+    loop = asyncio.get_running_loop()
+
+    def reset() -> None:
+        listening.accept()[0].close()
+
+    loop.add_reader(listening, reset)
+    assert not await pool.refuses(listening.getsockname()[1])
+    loop.remove_reader(listening)
+    listening.close()
+
+
 async def test_a_name_is_looked_up_and_a_closed_port_refuses() -> None:
     with socket.create_server(('127.0.0.1', 0)) as listening:
         port = listening.getsockname()[1]
