Slow links are told when those who follow the store for them lose it

All fast hosts of a zone are left by the store without a word; they notice 1.0 to 1.5 s later and say until then that they follow it, and the slow ones wait HEARD_S more: a version in force 3.3 s after its acknowledgement. Change: one that loses the store says so, is forgotten as a follower, and a zone without any reads at once. Ruled out: a shorter HEARD_S, by which one late beat makes all slow links read whole versions.

--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -11,6 +11,12 @@
 ``READ_EVERY_S``: a zone without fast links, or whose fast ones are cut off
 from the store, is as current as its own reads are.
 
+One that follows the store and loses it says so at once, and is not waited
+for.  It says that it follows until its own calls time out, a second and
+more after the store fell silent; with two beats of silence on top, hosts
+with slow links had a version 3.3 s after the operators' write, while the
+store answered them all the time.
+
 While the store is out nobody follows it, so nobody is heard of.  When it
 comes back, the fast ones are heard of within a beat, and a daemon with a
 slow link waits for that: reading at once, all of them would fill their
@@ -34,14 +40,17 @@
 class Following:
     """What decides for one daemon.
 
-    :param heard_at: when one that follows the store was last heard of.
+    :param start: of this daemon; those that follow get `HEARD_S` from then
+        to be heard of.
+    :param heard_by_host: when each that follows the store was last heard of.
     :param answers: whether the store answers this daemon; None until it
         was asked.
     :param since: from when on it does again.
     """
 
     link_mbps: float
-    heard_at: float
+    start: float
+    heard_by_host: dict[str, float] = dataclasses.field(default_factory=dict)
     read_at: float = 0.0
     answers: bool | None = None
     since: float = 0.0
@@ -55,8 +64,14 @@
         """Whether this daemon reads the store for others, and reaches it."""
         return self.answers is True and not self.slow
 
-    def heard(self, now: float) -> None:
-        self.heard_at = now
+    def heard(self, host: str, now: float) -> None:
+        """Note that a host with a fast link says that it follows."""
+        self.heard_by_host[host] = now
+
+    def lost(self, host: str) -> None:
+        """Note that a host says that the store does not answer it."""
+        if self.heard_by_host.pop(host, None) and not self.heard_by_host:
+            self.start = -HEARD_S
 
     def store_answers(self, answers: bool, now: float) -> None:
         """Note whether the store answers this daemon."""
@@ -68,7 +83,7 @@
         """Whether a daemon with a slow link is to read the store now."""
         if self.answers is False:
             return False
-        heard_at = max(self.heard_at, self.since)
+        heard_at = max(self.start, self.since, *self.heard_by_host.values())
         if now - heard_at < HEARD_S or now - self.read_at < READ_EVERY_S:
             return False
         self.read_at = now
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -293,7 +293,7 @@
     def _note(self, reachable: bool, error: str) -> None:
         if reachable == self.reachable:
             return
-        self.versions.following.store_answers(reachable, deadlines.now())
+        self.versions.store_answers(reachable)
         to = 'reachable' if reachable else 'unreachable'
         self.log.state('store', to=to, error=error)
 
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -122,13 +122,22 @@
         if self.following.follows and self.version:
             self.directory.tell_zone(self._told(), slow_only=True)
 
+    def store_answers(self, answers: bool) -> None:
+        """Note whether the store answers; those who wait are told of a no."""
+        followed = self.following.follows
+        self.following.store_answers(answers, deadlines.now())
+        if followed and not answers:
+            self.directory.tell_zone(self._told(), slow_only=True)
+
     def _told(self) -> frames.Version:
         return frames.Version(self.version, self.following.follows)
 
     def _heard(self, told: frames.Version, stream: peers.PeerStream) -> None:
         far = self.directory.is_far(stream.zone)
         if told.following and not far:
-            self.following.heard(deadlines.now())
+            self.following.heard(stream.host, deadlines.now())
+        elif told.following is False and not far:
+            self.following.lost(stream.host)
         if told.version <= self.version:
             return
         if told.following and self.following.slow and not far:
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -111,11 +111,12 @@
 class Version(msgspec.Struct, array_like=True, tag=8):
     """The configuration version that the sender holds.
 
-    :param following: whether it reads the store, and reached it lately.
+    :param following: whether it reads the store, and reached it lately;
+        None where it does not say.
     """
 
     version: int
-    following: bool = False
+    following: bool | None = None
 
 
 class Fetch(msgspec.Struct, array_like=True, tag=9):
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -6,7 +6,7 @@
 
 
 def slow(now: float = 0.0) -> following.Following:
-    return following.Following(link_mbps=5.0, heard_at=now)
+    return following.Following(link_mbps=5.0, start=now)
 
 
 def reads(one: following.Following, start: float, end: float) -> list[float]:
@@ -21,7 +21,7 @@
     assert not reads(one, 0.0, following.HEARD_S - BEAT_S)
     first, second, *_ = reads(one, following.HEARD_S, 10.0)
     assert second - first >= following.READ_EVERY_S
-    one.heard(20.0)
+    one.heard('fast', 20.0)
     assert not reads(one, 20.0, 20.0 + following.HEARD_S - BEAT_S)
 
 
@@ -37,7 +37,7 @@
     assert not reads(one, 1.0, 9.0)
     one.store_answers(True, 9.0)
     assert not reads(one, 9.0, 9.0 + BEAT_S)
-    one.heard(9.0 + BEAT_S)
+    one.heard('fast', 9.0 + BEAT_S)
     assert not reads(one, 9.0 + BEAT_S, 9.0 + following.HEARD_S)
 
 
@@ -67,12 +67,33 @@
 
     The store goes silent on all fast hosts of a zone and answers the slow
     ones.  The fast ones say that they follow it until they notice; a version
-    comes in that time.  The slow ones wait for two beats more and then read.
+    comes in that time.  The slow ones wait for two beats more and then read,
+    though the fast ones could have told them.
     """
-    slow = following.Following(5.0, heard_at=0.0)
+    slow = following.Following(5.0, start=0.0)
     slow.store_answers(True, 0.0)
-    slow.heard(SILENCE_NOTICED_S)
+    slow.heard('fast', SILENCE_NOTICED_S)
+    slow.lost('fast')
     acknowledged = SILENCE_NOTICED_S - following.BEAT_S / 2
     looks = [step * following.BEAT_S for step in range(10)]
     read_at = next(at for at in looks if slow.reads_now(at))
     assert read_at <= acknowledged + IN_FORCE_S
+
+
+def test_one_that_loses_the_store_is_replaced_by_another_that_follows() -> (
+    None
+):
+    one = slow()
+    one.heard('first', 5.0)
+    one.heard('second', 5.0)
+    one.lost('first')
+    assert not reads(one, 5.0, 5.0 + following.HEARD_S - BEAT_S)
+    one.lost('second')
+    assert one.reads_now(5.0 + BEAT_S)
+
+
+def test_a_word_of_one_that_never_followed_changes_nothing() -> None:
+    one = slow()
+    one.heard('fast', 5.0)
+    one.lost('slow')
+    assert not reads(one, 5.0, 5.0 + following.HEARD_S - BEAT_S)
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -175,6 +175,18 @@
             )
 
 
+async def test_those_with_slow_links_are_told_when_the_store_is_lost() -> None:
+    """A fast host says that it follows the store seconds after it lost it."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config(1))
+        fast = await mesh.add('fast')
+        slow = await mesh.add('slow', link_mbps=5.0)
+        heard = slow.proxy.versions.following.heard_by_host
+        await conditions.until(lambda: 'fast' in heard)
+        fast.proxy.versions.store_answers(False)
+        await conditions.until(lambda: 'fast' not in heard)
+
+
 def _has(hosts: list[proxies.Host], version: int) -> bool:
     return all(one.proxy.versions.version == version for one in hosts)
 
