--- a/src/peridotpost/cli/experiment.py
+++ b/src/peridotpost/cli/experiment.py
@@ -111,10 +111,12 @@
 def _bound_table(found: list[bounds.Interval], earned: float) -> str:
     lines = [f'{"from s":>7} {"to s":>6} {"bound":>6}  served; what binds']
     for one in found:
-        served = ', '.join(f'{k} {one.served[k]:.2f}' for k in one.served)
+        served = ', '.join(
+            f'{route} {share:.2f}' for route, share in one.served.items()
+        )
         binds = ', '.join(
-            f'{k} ({one.worth_of_slot[k]:.1f} a slot)'
-            for k in one.worth_of_slot
+            f'{service} ({worth:.1f} a slot)'
+            for service, worth in one.worth_of_slot.items()
         )
         lines.append(
             f'{one.start_s:>7.1f} {one.end_s:>6.1f} {one.share:>6.3f}  '
--- a/src/peridotpost/proxy/recognition.py
+++ b/src/peridotpost/proxy/recognition.py
@@ -14,6 +14,12 @@
 from peridotpost.proxy import exchange as exchanges
 from peridotpost.proxy import http1
 
+KNOWN_BY_BYTES = 65_536
+"""Of a refused request's body it is known by so many: hashing 64 MB, the
+most that callers may send, would hold up all others for tens of
+milliseconds each time.  That two requests with the same path agree so far
+and then differ costs no more than a wrong guess of who comes again."""
+
 
 class Recognition:
     """The memories of one ingress."""
@@ -28,7 +34,7 @@
         """Return the first attempt of a request that was refused before."""
         if not self.refused.held:
             return None
-        name = _fingerprint(message)
+        name = _refusal_name(message)
         return self.refused.came(name, route.name, deadlines.now())
 
     def was_refused(self, exchange: exchanges.Exchange) -> None:
@@ -39,7 +45,7 @@
             exchange.first_at,
             exchange.patient_until,
         )
-        self.refused.refused(_fingerprint(exchange.message), attempt)
+        self.refused.refused(_refusal_name(exchange.message), attempt)
 
     def crashed(
         self, fingerprints: Iterable[str], target: str, incident: str
@@ -62,3 +68,8 @@
 
 def _fingerprint(message: http1.Message) -> str:
     return poison.fingerprint(message.method, message.target, message.body)
+
+
+def _refusal_name(message: http1.Message) -> str:
+    body = message.body[:KNOWN_BY_BYTES]
+    return poison.fingerprint(message.method, message.target, body)
--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -291,6 +291,26 @@
             yield mesh
 
 
+@contextlib.asynccontextmanager
+async def full(logs: pathlib.Path | None = None) -> AsyncIterator[Host]:
+    """One host whose target has one slot, which a request holds.
+
+    :param logs: folder for log lines.
+    """
+    async with running() as mesh:
+        mesh.logs = logs
+        await mesh.kv.configure(config())
+        host = await mesh.add('a', slots=1)
+        await host.announce()
+        await mesh.ready()
+        async with host.caller() as holding:
+            holding.send('/read/hold', attempt='holds')
+            await host.worker.began.wait()
+            yield host
+            host.worker.release.set()
+            assert (await holding.receive()).status == 200
+
+
 @contextlib.asynccontextmanager
 async def pair() -> AsyncIterator[tuple[Mesh, Host, Host]]:
     """Two proxies of one service in one zone, ready."""
--- a/testing/test_call_invariants.py
+++ b/testing/test_call_invariants.py
@@ -16,6 +16,8 @@
 from testing import conditions
 
 CALLS = 250
+LATE_BY = 5
+"""A late answer comes after so many other requests have come."""
 SHED = b'HTTP/1.1 503 Full\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -25,6 +27,8 @@
     def __init__(self, randomness: random.Random) -> None:
         self.randomness = randomness
         self.runs: collections.Counter[str] = collections.Counter()
+        self.read = 0
+        self.all_sent = False
 
     async def serve(
         self,
@@ -37,6 +41,7 @@
                 writer.transport.abort()
                 return
             request = await state.read_request(reader)
+            self.read += 1
             path = request.split(b' ')[1]
             act = self.randomness.random()
             if act < 0.08:
@@ -52,17 +57,25 @@
                 writer.write(answer[: self.randomness.randrange(len(answer))])
                 return
             if act < 0.32:
-                await asyncio.sleep(0.06)
+                await self._others_came(reader)
             if act > 0.92:
                 answer += answer
             writer.write(answer)
 
+    async def _others_came(self, reader: asyncio.StreamReader) -> None:
+        """Wait for others, the last caller, or the end of the connection."""
+        due = self.read + LATE_BY
+        await conditions.until(
+            lambda: self.read >= due or self.all_sent or reader.at_eof()
+        )
+
 
 @pytest.mark.parametrize('seed', range(4))
 async def test_every_word_is_true(seed: int) -> None:
     randomness = random.Random(seed)
     targets = Misbehaving(randomness)
     told: dict[str, callpath.Reply] = {}
+    sent = 0
 
     async def call(number: int, port: int) -> None:
         # Refusals by the guards come and go with the timing of the run;
@@ -73,13 +86,20 @@
         headers = []
         if randomness.random() < 0.2:
             headers.append('Peridot-Timeout-Ms: 30')
+        nonlocal sent
         await asyncio.sleep(randomness.random() / 2)
+        sent += 1
+        targets.all_sent = sent == CALLS
         async with callpath.caller(port) as caller:
             if randomness.random() < 0.1:
                 await caller.send(
                     callpath.request(service, 'POST', path, b'x', *headers)
                 )
-                await asyncio.sleep(0.002)
+                reply = asyncio.ensure_future(caller.reply())
+                await conditions.until(
+                    lambda: targets.runs[path] > 0 or reply.done()
+                )
+                reply.cancel()
                 return
             told[path] = await caller.ask(
                 service, 'POST', path, b'x', *headers
--- a/testing/test_experiment.py
+++ b/testing/test_experiment.py
@@ -24,22 +24,23 @@
     return scenarios.load(DOUBLE_LOAD)
 
 
+PLAIN_ROUTE: dict[str, object] = {
+    'name': 'r',
+    'service': 's',
+    'per_s': 20,
+    'work_ms': 20,
+    'objective_ms': 200,
+    'deadline_ms': 500,
+}
+
+
 def calm(**changes: object) -> scenarios.Scenario:
     """Return a small fleet with room for all, with changes."""
     plain = {
         'zones': 2,
         'seconds': 5,
         'services': [{'name': 's', 'per_zone': 2, 'slots': 4}],
-        'routes': [
-            {
-                'name': 'r',
-                'service': 's',
-                'per_s': 20,
-                'work_ms': 20,
-                'objective_ms': 200,
-                'deadline_ms': 500,
-            }
-        ],
+        'routes': [PLAIN_ROUTE],
     }
     return msgspec.convert(plain | changes, scenarios.Scenario)
 
@@ -94,16 +95,7 @@
 def test_a_call_that_fails_fails_the_run_that_made_it() -> None:
     scenario = calm(
         routes=[
-            {
-                'name': 'r',
-                'service': 's',
-                'per_s': 20,
-                'work_ms': 20,
-                'objective_ms': 200,
-                'deadline_ms': 500,
-                'max_attempts': 1,
-                'calls': [{'route': 'inner'}],
-            },
+            PLAIN_ROUTE | {'max_attempts': 1, 'calls': [{'route': 'inner'}]},
             {
                 'name': 'inner',
                 'service': 's',
@@ -303,15 +295,8 @@
 
 def overloaded(**changes: object) -> scenarios.Scenario:
     """Return the small fleet with twice what its slots can run."""
-    route = {
-        'name': 'r',
-        'service': 's',
-        'per_s': 800,
-        'work_ms': 40,
-        'objective_ms': 200,
-        'deadline_ms': 500,
-    }
-    return calm(routes=[route | changes])
+    heavy = PLAIN_ROUTE | {'per_s': 800, 'work_ms': 40}
+    return calm(routes=[heavy | changes])
 
 
 @pytest.mark.parametrize(
--- a/testing/test_proxy_callers.py
+++ b/testing/test_proxy_callers.py
@@ -1,7 +1,5 @@
 """What callers may rely on, and what they may not send."""
 
-import asyncio
-
 import pytest
 
 from testing import conditions
@@ -127,20 +125,12 @@
 
 
 async def test_a_refusal_when_full_says_when_to_come_back() -> None:
-    async with proxies.running() as mesh:
-        await mesh.kv.configure(proxies.config())
-        host = await mesh.add('a', slots=1)
-        await host.announce()
-        await mesh.ready()
-        running = asyncio.ensure_future(host.ask('/read/hold', attempt='h1'))
-        await conditions.until(lambda: len(host.worker.runs) == 1)
+    async with proxies.full() as host:
         host.proxy.guard.queue.times.mean_s = 10.0
         refused = await host.ask('/read/ok', attempt='h2')
         assert refused.status == 503
         assert float(refused.headers['retry-after']) > 0
-        host.worker.release.set()
-        assert (await running).status == 200
-        assert host.worker.attempts() == ['h1']
+        assert host.worker.attempts() == ['holds']
 
 
 async def test_the_operators_timeout_is_kept() -> None:
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -158,23 +158,14 @@
     write can't be sent again after that.  The guard knows better, and says
     so while there is time.
     """
-    async with proxies.running() as mesh:
-        await mesh.kv.configure(proxies.config())
-        host = await mesh.add('a', slots=1)
-        await host.announce()
-        await mesh.ready()
-        async with host.caller() as holding:
-            holding.send('/read/hold', attempt='holds')
-            await host.worker.began.wait()
-            answer = await host.ask(
-                '/write/ok',
-                method='POST',
-                attempt='waits',
-                body=b'x',
-                X_Deadline_Remaining_Ms='700',
-            )
-            host.worker.release.set()
-            await holding.receive()
+    async with proxies.full() as host:
+        answer = await host.ask(
+            '/write/ok',
+            method='POST',
+            attempt='waits',
+            body=b'x',
+            X_Deadline_Remaining_Ms='700',
+        )
         assert answer.status == 503
         assert 'retry-after' in answer.headers
         assert host.worker.attempts() == ['holds']
--- a/testing/test_reports.py
+++ b/testing/test_reports.py
@@ -21,19 +21,9 @@
 
 async def full_host(logs: pathlib.Path) -> int:
     """Have a request refused by a full target; return its status."""
-    async with proxies.running() as mesh:
-        mesh.logs = logs
-        await mesh.kv.configure(proxies.config())
-        host = await mesh.add('a', slots=1)
-        await host.announce()
-        await mesh.ready()
-        async with host.caller() as holding:
-            holding.send('/read/hold', attempt='holds')
-            await host.worker.began.wait()
-            short = {'X_Deadline_Remaining_Ms': '40'}
-            answer = await host.ask('/read/ok', attempt='late', **short)
-            host.worker.release.set()
-            await holding.receive()
+    async with proxies.full(logs) as host:
+        short = {'X_Deadline_Remaining_Ms': '40'}
+        answer = await host.ask('/read/ok', attempt='late', **short)
     return answer.status
 
 
