--- a/src/peridotpost/decisions/runtimes.py
+++ b/src/peridotpost/decisions/runtimes.py
@@ -9,7 +9,8 @@
 A route that has not run there yet is judged by its objective: operators ask
 for three to four times the mean run (2.7 to 4.2 in the fleets known).  By the
 mean of the others a call of 30 ms behind requests of 300 is refused until one
-finds a slot free by chance; on a heavy day half of the refused calls were so.
+finds a slot free by chance; of the refusals of calls that a heavy day logged,
+half were so.
 
 Mean and mean deviation are moving averages with TCP's weight of 1/8: what
 was a dozen runs ago has faded, one odd run shifts little.
