--- a/src/peridotpost/decisions/runtimes.py
+++ b/src/peridotpost/decisions/runtimes.py
@@ -68,9 +68,17 @@
         self.mean_s += RUN_WEIGHT * (held_s - self.mean_s)
 
     def came(self, route: str, objective_s: float) -> None:
-        """Guess the time of a route that has not run yet."""
-        if route not in self.by_route and objective_s > 0.0:
-            self.guessed_by_route[route] = FIRST_RUN_SHARE * objective_s
+        """Guess the time of a route that has not run yet.
+
+        The largest guess holds: who comes again has less than the route's
+        objective left, and says nothing about the run.
+        """
+        if route in self.by_route:
+            return
+        guess_s = FIRST_RUN_SHARE * objective_s
+        known_s = self.guessed_by_route.get(route, 0.0)
+        if guess_s > known_s:
+            self.guessed_by_route[route] = guess_s
 
     def expected_s(self, route: str) -> float:
         """Return the time of the next run of a route."""
--- a/testing/test_slots_mixed.py
+++ b/testing/test_slots_mixed.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from peridotpost.decisions import runtimes
 from peridotpost.decisions import slots
 from peridotpost.decisions import slotshare
 from peridotpost.model import forwarding
@@ -307,6 +308,24 @@
     assert queue.arrive(call, 0.3).refused == []
 
 
+def test_the_guess_for_a_route_does_not_shrink_with_late_callers() -> None:
+    """After a loss of power requests are started that end after their time.
+
+    Who came before the loss comes again with 10 ms of the objective and
+    100 of the deadline left.  A run of the route was then taken for 3 ms,
+    so such requests were let wait and got slots that others had asked for.
+    """
+    queue = queue_of(slots.SlotQueue, 12)
+    for number in range(12):
+        queue.arrive(order_of(SHEETS, number, 0.0), 0.0)
+    late = order_of(SHEETS, 12, 0.0)
+    late.objective = 0.01
+    late.deadline = 0.1
+    assert queue.arrive(late, 0.0).refused == [late]
+    usual_s = runtimes.FIRST_RUN_SHARE * SHEETS.objective_s
+    assert queue.times.expected_s(late.route) == pytest.approx(usual_s)
+
+
 def test_a_wait_that_only_the_mean_run_fits_makes_answers_late(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
