--- a/src/peridotpost/daemon/control.py
+++ b/src/peridotpost/daemon/control.py
@@ -17,6 +17,7 @@
 from peridotpost.kernel import registry
 from peridotpost.kernel import timers
 from peridotpost.membership import myself as own
+from peridotpost.membership import pings
 from peridotpost.membership import probing
 from peridotpost.membership import seeds
 from peridotpost.model import members
@@ -52,8 +53,8 @@
         server.serving(
             servicer, given.address, given.listen.control_port
         ) as control_port,
-        probing.listening(
-            prober, given.address, given.listen.probe_port
+        pings.listening(
+            prober.pings, given.address, given.listen.probe_port
         ) as probe_port,
     ):
         record = members.MemberRecord(
@@ -99,8 +100,8 @@
         given.timing.probe_timeout_s,
         given.timing.suspicion_s,
     )
-    prober.encode = wire.member_to_wire
-    prober.decode = wire.member_from_wire
+    prober.pings.encode = wire.member_to_wire
+    prober.pings.decode = wire.member_from_wire
     kernel.register('prober', prober)
     return prober
 
--- /dev/null
+++ b/src/peridotpost/membership/pings.py
@@ -0,0 +1,287 @@
+"""Pings over UDP: who is asked, who may answer, what an answer brings."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import random
+from typing import Any
+from typing import Protocol
+
+from google.protobuf import message as protobuf_message
+
+from peridotpost.generated import control_pb2
+from peridotpost.kernel import counters
+from peridotpost.model import errors
+from peridotpost.model import members
+
+PING = 1
+ACK = 2
+PING_REQUEST = 3
+RECEIVED = 4
+"""A helper's word that it was asked, whatever the subject does: it shows
+that the prober itself is heard."""
+NONCE_BITS = 64
+PATIENCE = 3
+"""Timeouts in a probe: one of the subject, two of its helpers, whose own
+probe takes one."""
+MAX_RELAYED = 64
+"""Probes run for others at once; more are refused, so that a flood of
+requests costs no more than so many datagrams each timeout."""
+Address = tuple[str, int]
+
+
+class Records(Protocol):
+    """What pings need of the replica."""
+
+    def record_of(self, host: str) -> members.MemberRecord | None: ...
+
+    def offer(self, record: members.MemberRecord) -> None: ...
+
+
+@dataclasses.dataclass(slots=True)
+class Expected:
+    """An answer that is waited for, and who alone may give it."""
+
+    subject: str
+    answerers: dict[Address, str]
+    answered: asyncio.Future[None]
+    heard: set[str] = dataclasses.field(default_factory=set)
+
+    def given_by(self, probe: control_pb2.Probe, address: Address) -> bool:
+        """Whether an answer comes from whom it should, about whom."""
+        source = self.answerers.get(address)
+        return source == probe.source and probe.subject == self.subject
+
+
+class Pings:
+    """Sends and answers datagrams; judges nobody."""
+
+    encode: Callable[[members.MemberRecord], control_pb2.Member]
+    decode: Callable[[control_pb2.Member], members.MemberRecord]
+
+    def __init__(
+        self,
+        host: str,
+        fleet: Records,
+        counts: counters.Counters,
+        randomness: random.Random,
+        timeout_s: float,
+    ) -> None:
+        self.host = host
+        self.fleet = fleet
+        self.counts = counts
+        self.randomness = randomness
+        self.timeout_s = timeout_s
+        self.transport: asyncio.DatagramTransport | None = None
+        self.waiting: dict[int, Expected] = {}
+        self.relayed: set[asyncio.Task[None]] = set()
+
+    async def ping(self, record: members.MemberRecord) -> bool:
+        """Whether a member answers now."""
+        facts = []
+        if record.status is members.Status.SUSPECT:
+            # The suspect hears of the suspicion with the probe itself, so
+            # that it can refute it even if its stream is what broke.
+            facts = [record]
+        with self._expecting(record.host, [record]) as (nonce, expected):
+            self._send(PING, nonce, record.host, record, facts)
+            return await self._answered(expected, self.timeout_s)
+
+    async def ping_through(
+        self, record: members.MemberRecord, helpers: list[str]
+    ) -> tuple[bool, int]:
+        """Ask `helpers`; return whether one got an answer, how many heard."""
+        found = [self.fleet.record_of(host) for host in helpers]
+        asked = [one for one in found if one is not None]
+        with self._expecting(record.host, asked) as (nonce, expected):
+            for helper in asked:
+                self._send(PING_REQUEST, nonce, record.host, helper, [])
+            answered = await self._answered(
+                expected, (PATIENCE - 1) * self.timeout_s
+            )
+            return answered, len(expected.heard)
+
+    @contextlib.contextmanager
+    def _expecting(
+        self, subject: str, answerers: list[members.MemberRecord]
+    ) -> Iterator[tuple[int, Expected]]:
+        # Numbers that can be guessed would let a stray or late datagram
+        # vouch for a dead member.
+        nonce = self.randomness.getrandbits(NONCE_BITS)
+        answered = asyncio.get_running_loop().create_future()
+        expected = Expected(
+            subject,
+            {(one.address, one.probe_port): one.host for one in answerers},
+            answered,
+        )
+        self.waiting[nonce] = expected
+        try:
+            yield nonce, expected
+        finally:
+            del self.waiting[nonce]
+
+    async def _answered(self, expected: Expected, timeout_s: float) -> bool:
+        try:
+            await asyncio.wait_for(expected.answered, timeout_s)
+        except TimeoutError:
+            self.counts.add('probe.unanswered')
+            return False
+        return True
+
+    def _send(
+        self,
+        kind: int,
+        nonce: int,
+        subject: str,
+        to: members.MemberRecord,
+        facts: list[members.MemberRecord],
+    ) -> None:
+        self._send_to(kind, nonce, subject, (to.address, to.probe_port), facts)
+
+    def _send_to(
+        self,
+        kind: int,
+        nonce: int,
+        subject: str,
+        address: Address,
+        facts: list[members.MemberRecord],
+    ) -> None:
+        if self.transport is None:
+            return
+        probe = control_pb2.Probe(
+            kind=kind,
+            nonce=nonce,
+            source=self.host,
+            subject=subject,
+            facts=[self.encode(one) for one in facts],
+        )
+        data = probe.SerializeToString()
+        self.counts.add('probe.sent-bytes', len(data))
+        self.counts.add('probe.sent-messages')
+        self.transport.sendto(data, address)
+
+    def received(self, data: bytes, address: Address) -> None:
+        """Answer or take in one datagram; what is unusable is counted."""
+        self.counts.add('probe.received-bytes', len(data))
+        self.counts.add('probe.received-messages')
+        probe = control_pb2.Probe()
+        try:
+            probe.ParseFromString(data)
+            facts = [self.decode(one) for one in probe.facts]
+        except (protobuf_message.DecodeError, errors.CodecError):
+            self.counts.add('probe.unreadable')
+            return
+        if probe.kind == PING:
+            self._take_ping(probe, facts, address)
+        elif probe.kind == PING_REQUEST:
+            self._take_request(probe, address)
+        elif probe.kind in (ACK, RECEIVED):
+            self._take_answer(probe, facts, address)
+        else:
+            self.counts.add('probe.unreadable')
+
+    def _take_ping(
+        self,
+        probe: control_pb2.Probe,
+        facts: list[members.MemberRecord],
+        address: Address,
+    ) -> None:
+        if probe.subject != self.host:
+            # A new daemon on the address of a dead one must not vouch for
+            # it, nor pass on what was meant for it.
+            self.counts.add('probe.misdirected')
+            return
+        self._offer(facts)
+        mine = self.fleet.record_of(self.host)
+        refuting = [mine] if facts and mine is not None else []
+        self._send_to(ACK, probe.nonce, self.host, address, refuting)
+
+    def _take_request(
+        self, probe: control_pb2.Probe, address: Address
+    ) -> None:
+        record = self.fleet.record_of(probe.subject)
+        if record is None or probe.subject == self.host:
+            self.counts.add('probe.misdirected')
+            return
+        if len(self.relayed) >= MAX_RELAYED:
+            self.counts.add('probe.relay-refused')
+            return
+        self._send_to(RECEIVED, probe.nonce, probe.subject, address, [])
+        task = asyncio.ensure_future(
+            self._probe_for(record, probe.nonce, address)
+        )
+        self.relayed.add(task)
+        task.add_done_callback(self.relayed.discard)
+
+    async def _probe_for(
+        self, record: members.MemberRecord, nonce: int, address: Address
+    ) -> None:
+        if await self.ping(record):
+            latest = self.fleet.record_of(record.host)
+            facts = [latest] if latest is not None else []
+            self._send_to(ACK, nonce, record.host, address, facts)
+
+    def _take_answer(
+        self,
+        probe: control_pb2.Probe,
+        facts: list[members.MemberRecord],
+        address: Address,
+    ) -> None:
+        expected = self.waiting.get(probe.nonce)
+        if expected is None:
+            self.counts.add('probe.stale')
+            return
+        if not expected.given_by(probe, address):
+            self.counts.add('probe.wrong-source')
+            return
+        expected.heard.add(probe.source)
+        if probe.kind == ACK:
+            self._offer(facts)
+            if not expected.answered.done():
+                expected.answered.set_result(None)
+
+    def _offer(self, facts: list[members.MemberRecord]) -> None:
+        for one in facts:
+            self.fleet.offer(one)
+
+
+class _Protocol(asyncio.DatagramProtocol):
+    def __init__(self, pings: Pings) -> None:
+        self.pings = pings
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.pings.received(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        self.pings.counts.add('probe.send-failed')
+
+
+@contextlib.asynccontextmanager
+async def listening(
+    pings: Pings, address: str, port: int
+) -> AsyncIterator[int]:
+    """Open the probe port and yield the one in use.
+
+    :raises errors.PeridotError: the port is taken.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Protocol(pings), local_addr=(address, port)
+        )
+    except OSError as error:
+        raise errors.PeridotError(
+            f'the probe port cannot be opened ({error.strerror}); set '
+            'listen.probe_port to a free one',
+            step='probe.listen',
+            peer=f'{address}:{port}',
+        ) from error
+    pings.transport = transport
+    try:
+        yield transport.get_extra_info('sockname')[1]
+    finally:
+        pings.transport = None
+        transport.close()
--- a/src/peridotpost/membership/probing.py
+++ b/src/peridotpost/membership/probing.py
@@ -1,41 +1,18 @@
-"""Probes over UDP by the rules of ``decisions.observer``."""
+"""Whom to probe, and what follows, by the rules of ``decisions.observer``."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterator
-import contextlib
-import dataclasses
 import random
-from typing import Any
 from typing import Protocol
 
-from google.protobuf import message as protobuf_message
-
 from peridotpost.decisions import observer as observers
 from peridotpost.decisions import suspicion
-from peridotpost.generated import control_pb2
 from peridotpost.kernel import counters
 from peridotpost.kernel import timers
-from peridotpost.model import errors
+from peridotpost.membership import pings
 from peridotpost.model import members
 
-PING = 1
-ACK = 2
-PING_REQUEST = 3
-RECEIVED = 4
-"""A helper's word that it was asked, whatever the subject does: it shows
-that the prober itself is heard."""
-NONCE_BITS = 64
-PATIENCE = 3
-"""Timeouts in a probe: one of the subject, two of its helpers, whose own
-probe takes one."""
-MAX_RELAYED = 64
-"""Probes run for others at once; more are refused, so that a flood of
-requests costs no more than so many datagrams each timeout."""
-Address = tuple[str, int]
-
 
 class Members(Protocol):
     """What probing needs of the replica."""
@@ -47,21 +24,6 @@
     def offer(self, record: members.MemberRecord) -> None: ...
 
 
-@dataclasses.dataclass(slots=True)
-class Expected:
-    """An answer that is waited for, and who alone may give it."""
-
-    subject: str
-    answerers: dict[Address, str]
-    answered: asyncio.Future[None]
-    heard: set[str] = dataclasses.field(default_factory=set)
-
-    def given_by(self, probe: control_pb2.Probe, address: Address) -> bool:
-        """Whether an answer comes from whom it should, about whom."""
-        source = self.answerers.get(address)
-        return source == probe.source and probe.subject == self.subject
-
-
 class Prober:
     """Probes members each period, and answers probes."""
 
@@ -82,15 +44,12 @@
         self.fleet = fleet
         self.clock = clock
         self.counts = counts
-        self.randomness = randomness
         self.period_s = period_s
         self.timeout_s = timeout_s
         self.observer = observers.Observer(randomness, suspicion_s)
         self.pause = suspicion.PauseGuard(period_s, clock.now())
         self.paused: list[Callable[[], None]] = []
-        self.transport: asyncio.DatagramTransport | None = None
-        self.waiting: dict[int, Expected] = {}
-        self.relayed: set[asyncio.Task[None]] = set()
+        self.pings = pings.Pings(host, fleet, counts, randomness, timeout_s)
 
     def observe(self, record: members.MemberRecord) -> None:
         """Follow a member's status, whoever found it out."""
@@ -112,7 +71,7 @@
         )
         ended = self.clock.now()
         if suspicion.overslept(
-            PATIENCE * self.timeout_s, ended - now, self.period_s
+            pings.PATIENCE * self.timeout_s, ended - now, self.period_s
         ):
             self._own_pause(ended)
         self.pause.rested(ended)
@@ -146,19 +105,19 @@
         others: list[members.MemberRecord],
     ) -> observers.Evidence:
         started = self.clock.now()
-        if await self._ping(record):
+        if await self.pings.ping(record):
             return observers.Evidence(answered=True)
         near = [o.host for o in others if o.availability_zone == self.zone]
         far = [o.host for o in others if o.availability_zone != self.zone]
         helpers = self.observer.round.helpers(record.host, near, far)
-        answered, heard = await self._ping_through(record, helpers)
+        answered, heard = await self.pings.ping_through(record, helpers)
         took = self.clock.now() - started
         return observers.Evidence(
             answered,
             len(helpers),
             heard,
             suspicion.overslept(
-                PATIENCE * self.timeout_s, took, self.period_s
+                pings.PATIENCE * self.timeout_s, took, self.period_s
             ),
         )
 
@@ -168,213 +127,4 @@
         A host whose record has not come yet is taken to answer.
         """
         record = self.fleet.record_of(host)
-        return record is None or await self._ping(record)
-
-    async def _ping(self, record: members.MemberRecord) -> bool:
-        facts = []
-        if record.status is members.Status.SUSPECT:
-            # The suspect hears of the suspicion with the probe itself, so
-            # that it can refute it even if its stream is what broke.
-            facts = [record]
-        with self._expecting(record.host, [record]) as (nonce, expected):
-            self._send(PING, nonce, record.host, record, facts)
-            return await self._answered(expected, self.timeout_s)
-
-    async def _ping_through(
-        self, record: members.MemberRecord, helpers: list[str]
-    ) -> tuple[bool, int]:
-        """Ask `helpers`; return whether one got an answer, how many heard."""
-        found = [self.fleet.record_of(host) for host in helpers]
-        asked = [one for one in found if one is not None]
-        with self._expecting(record.host, asked) as (nonce, expected):
-            for helper in asked:
-                self._send(PING_REQUEST, nonce, record.host, helper, [])
-            answered = await self._answered(
-                expected, (PATIENCE - 1) * self.timeout_s
-            )
-            return answered, len(expected.heard)
-
-    @contextlib.contextmanager
-    def _expecting(
-        self, subject: str, answerers: list[members.MemberRecord]
-    ) -> Iterator[tuple[int, Expected]]:
-        # Numbers that can be guessed would let a stray or late datagram
-        # vouch for a dead member.
-        nonce = self.randomness.getrandbits(NONCE_BITS)
-        answered = asyncio.get_running_loop().create_future()
-        expected = Expected(
-            subject,
-            {(one.address, one.probe_port): one.host for one in answerers},
-            answered,
-        )
-        self.waiting[nonce] = expected
-        try:
-            yield nonce, expected
-        finally:
-            del self.waiting[nonce]
-
-    async def _answered(self, expected: Expected, timeout_s: float) -> bool:
-        try:
-            await asyncio.wait_for(expected.answered, timeout_s)
-        except TimeoutError:
-            self.counts.add('probe.unanswered')
-            return False
-        return True
-
-    def _send(
-        self,
-        kind: int,
-        nonce: int,
-        subject: str,
-        to: members.MemberRecord,
-        facts: list[members.MemberRecord],
-    ) -> None:
-        self._send_to(kind, nonce, subject, (to.address, to.probe_port), facts)
-
-    def _send_to(
-        self,
-        kind: int,
-        nonce: int,
-        subject: str,
-        address: Address,
-        facts: list[members.MemberRecord],
-    ) -> None:
-        if self.transport is None:
-            return
-        probe = control_pb2.Probe(
-            kind=kind,
-            nonce=nonce,
-            source=self.host,
-            subject=subject,
-            facts=[self.encode(one) for one in facts],
-        )
-        data = probe.SerializeToString()
-        self.counts.add('probe.sent-bytes', len(data))
-        self.counts.add('probe.sent-messages')
-        self.transport.sendto(data, address)
-
-    encode: Callable[[members.MemberRecord], control_pb2.Member]
-    decode: Callable[[control_pb2.Member], members.MemberRecord]
-
-    def received(self, data: bytes, address: Address) -> None:
-        """Answer or take in one datagram; what is unusable is counted."""
-        self.counts.add('probe.received-bytes', len(data))
-        self.counts.add('probe.received-messages')
-        probe = control_pb2.Probe()
-        try:
-            probe.ParseFromString(data)
-            facts = [self.decode(one) for one in probe.facts]
-        except (protobuf_message.DecodeError, errors.CodecError):
-            self.counts.add('probe.unreadable')
-            return
-        if probe.kind == PING:
-            self._take_ping(probe, facts, address)
-        elif probe.kind == PING_REQUEST:
-            self._take_request(probe, address)
-        elif probe.kind in (ACK, RECEIVED):
-            self._take_answer(probe, facts, address)
-        else:
-            self.counts.add('probe.unreadable')
-
-    def _take_ping(
-        self,
-        probe: control_pb2.Probe,
-        facts: list[members.MemberRecord],
-        address: Address,
-    ) -> None:
-        if probe.subject != self.host:
-            # A new daemon on the address of a dead one must not vouch for
-            # it, nor pass on what was meant for it.
-            self.counts.add('probe.misdirected')
-            return
-        self._offer(facts)
-        mine = self.fleet.record_of(self.host)
-        refuting = [mine] if facts and mine is not None else []
-        self._send_to(ACK, probe.nonce, self.host, address, refuting)
-
-    def _take_request(
-        self, probe: control_pb2.Probe, address: Address
-    ) -> None:
-        record = self.fleet.record_of(probe.subject)
-        if record is None or probe.subject == self.host:
-            self.counts.add('probe.misdirected')
-            return
-        if len(self.relayed) >= MAX_RELAYED:
-            self.counts.add('probe.relay-refused')
-            return
-        self._send_to(RECEIVED, probe.nonce, probe.subject, address, [])
-        task = asyncio.ensure_future(
-            self._probe_for(record, probe.nonce, address)
-        )
-        self.relayed.add(task)
-        task.add_done_callback(self.relayed.discard)
-
-    async def _probe_for(
-        self, record: members.MemberRecord, nonce: int, address: Address
-    ) -> None:
-        if await self._ping(record):
-            latest = self.fleet.record_of(record.host)
-            facts = [latest] if latest is not None else []
-            self._send_to(ACK, nonce, record.host, address, facts)
-
-    def _take_answer(
-        self,
-        probe: control_pb2.Probe,
-        facts: list[members.MemberRecord],
-        address: Address,
-    ) -> None:
-        expected = self.waiting.get(probe.nonce)
-        if expected is None:
-            self.counts.add('probe.stale')
-            return
-        if not expected.given_by(probe, address):
-            self.counts.add('probe.wrong-source')
-            return
-        expected.heard.add(probe.source)
-        if probe.kind == ACK:
-            self._offer(facts)
-            if not expected.answered.done():
-                expected.answered.set_result(None)
-
-    def _offer(self, facts: list[members.MemberRecord]) -> None:
-        for one in facts:
-            self.fleet.offer(one)
-
-
-class _Protocol(asyncio.DatagramProtocol):
-    def __init__(self, prober: Prober) -> None:
-        self.prober = prober
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.prober.received(data, addr)
-
-    def error_received(self, exc: Exception) -> None:
-        self.prober.counts.add('probe.send-failed')
-
-
-@contextlib.asynccontextmanager
-async def listening(
-    prober: Prober, address: str, port: int
-) -> AsyncIterator[int]:
-    """Open the probe port and yield the one in use.
-
-    :raises errors.PeridotError: the port is taken.
-    """
-    loop = asyncio.get_running_loop()
-    try:
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Protocol(prober), local_addr=(address, port)
-        )
-    except OSError as error:
-        raise errors.PeridotError(
-            f'the probe port cannot be opened ({error.strerror}); set '
-            'listen.probe_port to a free one',
-            step='probe.listen',
-            peer=f'{address}:{port}',
-        ) from error
-    prober.transport = transport
-    try:
-        yield transport.get_extra_info('sockname')[1]
-    finally:
-        prober.transport = None
-        transport.close()
+        return record is None or await self.pings.ping(record)
--- a/testing/test_bench_bounds.py
+++ b/testing/test_bench_bounds.py
@@ -30,6 +30,7 @@
 from peridotpost.generated import control_pb2
 from peridotpost.kernel import counters
 from peridotpost.kernel import timers
+from peridotpost.membership import pings
 from peridotpost.membership import probing
 from peridotpost.membership import seeds
 from peridotpost.model import config
@@ -324,17 +325,17 @@
         self.answers = answers
         self.sent: list[bytes] = []
 
-    def sendto(self, data: bytes, address: probing.Address) -> None:
+    def sendto(self, data: bytes, address: pings.Address) -> None:
         self.sent.append(data)
         probe = control_pb2.Probe.FromString(data)
         if self.answers:
             ack = control_pb2.Probe(
-                kind=probing.ACK,
+                kind=pings.ACK,
                 nonce=probe.nonce,
                 source=probe.subject,
                 subject=probe.subject,
             )
-            self.prober.received(ack.SerializeToString(), address)
+            self.prober.pings.received(ack.SerializeToString(), address)
 
 
 @pytest.mark.parametrize(
@@ -360,10 +361,10 @@
             0.001,
             4.0,
         )
-        prober.encode = wire.member_to_wire
-        prober.decode = wire.member_from_wire
+        prober.pings.encode = wire.member_to_wire
+        prober.pings.decode = wire.member_from_wire
         transport = Wire(prober, answers)
-        prober.transport = transport  # type: ignore[assignment]
+        prober.pings.transport = transport  # type: ignore[assignment]
         await prober.tick()
         assert len(transport.sent) == datagrams
         assert all(len(data) <= 50 for data in transport.sent)
--- a/testing/test_suspicion.py
+++ b/testing/test_suspicion.py
@@ -16,6 +16,7 @@
 from peridotpost.kernel import counters
 from peridotpost.kernel import timers
 from peridotpost.membership import myself as own
+from peridotpost.membership import pings
 from peridotpost.membership import probing
 from peridotpost.model import members
 from testing import fakes
@@ -333,9 +334,9 @@
     """Takes in what a prober sends."""
 
     def __init__(self) -> None:
-        self.datagrams: list[tuple[control_pb2.Probe, probing.Address]] = []
+        self.datagrams: list[tuple[control_pb2.Probe, pings.Address]] = []
 
-    def sendto(self, data: bytes, address: probing.Address) -> None:
+    def sendto(self, data: bytes, address: pings.Address) -> None:
         probe = control_pb2.Probe()
         probe.ParseFromString(data)
         self.datagrams.append((probe, address))
@@ -374,17 +375,23 @@
         one = probing.Prober(
             host, 'z', fleet, clock, counts, randomness, 1.0, 0.05, 4.0
         )
-        one.encode, one.decode = wire.member_to_wire, wire.member_from_wire
-        one.transport = Link(host, probers, silent)  # type: ignore[assignment]
+        one.pings.encode, one.pings.decode = (
+            wire.member_to_wire,
+            wire.member_from_wire,
+        )
+        link: Any = Link(host, probers, silent)
+        one.pings.transport = link
         probers[host] = one
     noticed: list[bool] = []
     probers['a'].paused.append(lambda: noticed.append(True))
     for _ in hosts[1:]:
         clock.at += 1.0
         ticking = asyncio.ensure_future(probers['a'].tick())
-        while not (probers['a'].waiting or ticking.done()):
+        while not (probers['a'].pings.waiting or ticking.done()):
             await asyncio.sleep(0)
-        if any(one.subject == 'b' for one in probers['a'].waiting.values()):
+        if any(
+            one.subject == 'b' for one in probers['a'].pings.waiting.values()
+        ):
             clock.at += paused_s
         await ticking
     assert {one.status for one in fleet.records.values()} == statuses
@@ -405,13 +412,13 @@
         self.probers = probers
         self.silent = silent
 
-    def sendto(self, data: bytes, address: probing.Address) -> None:
+    def sendto(self, data: bytes, address: pings.Address) -> None:
         to = address[0]
         if self.host in self.silent or to in self.silent:
             return
         source = (self.host, address[1])
         loop = asyncio.get_running_loop()
-        loop.call_soon(self.probers[to].received, data, source)
+        loop.call_soon(self.probers[to].pings.received, data, source)
 
 
 @contextlib.contextmanager
@@ -431,10 +438,10 @@
         prober = probing.Prober(
             'me', 'z', fleet, clock, counts, randomness, 1.0, 0.2, 4.0
         )
-        prober.encode = wire.member_to_wire
-        prober.decode = wire.member_from_wire
+        prober.pings.encode = wire.member_to_wire
+        prober.pings.decode = wire.member_from_wire
         sent: Any = Sent()
-        prober.transport = sent
+        prober.pings.transport = sent
         yield prober, fleet, sent, counts
 
 
@@ -446,7 +453,7 @@
         ({'subject': 'helper'}, SUBJECT, 'probe.wrong-source'),
         ({'nonce': 7}, SUBJECT, 'probe.stale'),
         ({'kind': 9}, SUBJECT, 'probe.unreadable'),
-        ({'kind': probing.PING}, SUBJECT, 'probe.misdirected'),
+        ({'kind': pings.PING}, SUBJECT, 'probe.misdirected'),
     ],
     ids=[
         'of-another-host',
@@ -459,7 +466,7 @@
 )
 async def test_answer_that_proves_nothing_is_ignored_and_counted(
     change: dict[str, Any],
-    address: probing.Address,
+    address: pings.Address,
     count: str,
     randomness: random.Random,
 ) -> None:
@@ -467,19 +474,19 @@
     # late: taken for the subject's, it would keep a dead target in use.
     with open_prober(randomness) as (prober, fleet, sent, counts):
         probing_it = asyncio.ensure_future(
-            prober._ping(fleet.records['subject'])
+            prober.pings.ping(fleet.records['subject'])
         )
         await asyncio.sleep(0)
         ping, _ = sent.datagrams[0]
         wrong = {
-            'kind': probing.ACK,
+            'kind': pings.ACK,
             'nonce': ping.nonce,
             'source': 'subject',
             'subject': 'subject',
             'facts': [wire.member_to_wire(record_of('helper', DEAD))],
             **change,
         }
-        prober.received(
+        prober.pings.received(
             control_pb2.Probe(**wrong).SerializeToString(), address
         )
         assert counts.totals[count] == 1
@@ -492,7 +499,7 @@
 ) -> None:
     with open_prober(randomness) as (prober, _, sent, counts):
         for size in range(64):
-            prober.received(randomness.randbytes(size), SUBJECT)
+            prober.pings.received(randomness.randbytes(size), SUBJECT)
         assert counts.totals['probe.received-messages'] == 64
         assert sent.datagrams == []
 
@@ -507,15 +514,15 @@
         myself.changed.subscribe(lambda new: fleet.records.update(me=new))
         fact = suspicion.suspected(fleet.records['me'])
         ping = control_pb2.Probe(
-            kind=probing.PING,
+            kind=pings.PING,
             nonce=5,
             source='subject',
             subject='me',
             facts=[wire.member_to_wire(fact)],
         )
-        prober.received(ping.SerializeToString(), SUBJECT)
+        prober.pings.received(ping.SerializeToString(), SUBJECT)
         answer, to = sent.datagrams[-1]
-    assert (answer.kind, answer.nonce, to) == (probing.ACK, 5, SUBJECT)
+    assert (answer.kind, answer.nonce, to) == (pings.ACK, 5, SUBJECT)
     told = wire.member_from_wire(answer.facts[0])
     assert (told.status, told.incarnation) == (ALIVE, 2)
 
@@ -524,20 +531,20 @@
     randomness: random.Random,
 ) -> None:
     with open_prober(randomness) as (prober, _, sent, counts):
-        for nonce in range(probing.MAX_RELAYED + 5):
+        for nonce in range(pings.MAX_RELAYED + 5):
             request = control_pb2.Probe(
-                kind=probing.PING_REQUEST,
+                kind=pings.PING_REQUEST,
                 nonce=nonce,
                 source='helper',
                 subject='subject',
             )
-            prober.received(request.SerializeToString(), HELPER)
+            prober.pings.received(request.SerializeToString(), HELPER)
         await asyncio.sleep(0)
         kinds = [(probe.kind, to) for probe, to in sent.datagrams]
-        assert kinds.count((probing.RECEIVED, HELPER)) == probing.MAX_RELAYED
-        assert kinds.count((probing.PING, SUBJECT)) == probing.MAX_RELAYED
+        assert kinds.count((pings.RECEIVED, HELPER)) == pings.MAX_RELAYED
+        assert kinds.count((pings.PING, SUBJECT)) == pings.MAX_RELAYED
         assert counts.totals['probe.relay-refused'] == 5
-        for task in tuple(prober.relayed):
+        for task in tuple(prober.pings.relayed):
             task.cancel()
 
 
