--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -25,6 +25,12 @@
 FETCH_FAR_AFTER_S = 0.7
 """The same where the peer is in another zone: the own zone is asked first,
 and a version still is in force well within two seconds."""
+FIRST_FAR_S = 0.1
+"""How long a daemon without a configuration waits for one of its own zone:
+some turns of a stream within it."""
+FIRST_AGAIN_S = 0.5
+"""When such a daemon asks another peer.  Each of 60 peers has told it of a
+version by then; 30 KB from all of them fill a link of 5 Mbit/s for 3 s."""
 RECENT = 8
 """Texts kept as bases of differences; two seconds of a fast series."""
 COMPRESSION_LEVEL = 3
@@ -63,6 +69,7 @@
         self.recent: dict[int, bytes] = {}
         self.frames_by_base: dict[int, frames.Config | frames.ConfigDelta] = {}
         self.applied_at = deadlines.now()
+        self.first_asked_at = -FIRST_AGAIN_S
         directory.noticed.subscribe(self._noticed)
         directory.met_hook.subscribe(self._met)
 
@@ -105,7 +112,9 @@
         return True
 
     def _met(self, stream: peers.PeerStream) -> None:
-        if self.version and not self.directory.is_far(stream.zone):
+        if not self.version:
+            self._heard_of_first(stream, stream.version)
+        elif not self.directory.is_far(stream.zone):
             stream.send(self._told())
 
     def _noticed(self, notice: directories.Notice) -> None:
@@ -151,6 +160,9 @@
             self.following.lost(stream.host)
         if told.version <= self.version:
             return
+        if not self.version:
+            self._heard_of_first(stream, told.version)
+            return
         if told.following and self.following.slow and not far:
             self._fetch(stream, told.version)
             return
@@ -158,6 +170,32 @@
         pause_s = FETCH_FAR_AFTER_S if far else FETCH_AFTER_S
         loop.call_later(pause_s, self._fetch, stream, told.version)
 
+    def _heard_of_first(self, stream: peers.PeerStream, version: int) -> None:
+        """Ask for a first configuration: the own zone at once, others soon.
+
+        A zone that had lost its hosts with fast links started again after a
+        loss of power.  Its other hosts waited two seconds for one that
+        follows the store, then for the text on their links, and refused 600
+        requests meanwhile, while each peer in other zones could have helped.
+        """
+        if not version:
+            return
+        far = self.directory.is_far(stream.zone)
+        loop = asyncio.get_running_loop()
+        loop.call_later(FIRST_FAR_S * far, self._fetch_first, stream)
+
+    def _fetch_first(self, stream: peers.PeerStream) -> None:
+        """Ask one peer at a time while there is no configuration."""
+        if self.version or stream.closed:
+            return
+        now = deadlines.now()
+        if now - self.first_asked_at < FIRST_AGAIN_S:
+            loop = asyncio.get_running_loop()
+            loop.call_later(FIRST_AGAIN_S, self._fetch_first, stream)
+            return
+        self.first_asked_at = now
+        self._fetch(stream, 1)
+
     def _asked(self, told: frames.Fetch, stream: peers.PeerStream) -> None:
         if self.version <= told.version:
             return
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -69,6 +69,7 @@
         dispatches; None where the other side did.
     :param incarnation: of the other side's process; 0 until it said who it
         is.
+    :param version: of the configuration that it had when it said so.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.dialled = zone is not None
         self.zone = zone or ''
         self.slow = False
+        self.version = 0
         self.deflater: zlib._Compress | None = None
         self.idle_ping_s = IDLE_PING_S
         self.reader = frames.FrameReader()
@@ -215,6 +217,7 @@
         self.host = told.host
         self.incarnation = told.incarnation
         self.slow = told.slow
+        self.version = told.version
         if not self.dialled:
             self.zone = told.availability_zone
             self._greet()
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -175,6 +175,42 @@
             )
 
 
+async def test_a_zone_without_fast_links_starts_with_another_ones_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After a loss of power a zone refuses requests for two seconds.
+
+    Its hosts with fast links were taken away.  Those that are left wait
+    for one that follows the store, and then read it over slow links, while
+    other zones have had the configuration since their start.
+    """
+    monkeypatch.setattr('peridotpost.decisions.following.HEARD_S', 3600.0)
+    monkeypatch.setattr('peridotpost.mesh.versions.FETCH_FAR_AFTER_S', 3600.0)
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config(1))
+        fast = await mesh.add('fast')
+        await conditions.until(lambda: fast.proxy.versions.version == 1)
+        slow = [
+            await mesh.add(name, zone='hel-b', link_mbps=5.0) for name in 'ab'
+        ]
+        await conditions.until(functools.partial(_has, slow, 1))
+        assert not any(one.proxy.counts.totals['config.read'] for one in slow)
+
+
+async def test_a_first_configuration_is_asked_of_one_peer_at_a_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Sixty peers told a starting host of a version; all sent the whole."""
+    monkeypatch.setattr('peridotpost.mesh.versions.FIRST_AGAIN_S', 3600.0)
+    async with proxies.pair() as (mesh, first, second):
+        mesh.kv.status = 503
+        third = await mesh.add('c')
+        for host in (first, second):
+            host.proxy.directory.learn(third.proxy.own)
+        await conditions.until(functools.partial(_has, [third], 1))
+        assert third.proxy.counts.totals['config.fetched'] == 1
+
+
 async def test_those_with_slow_links_are_told_when_the_store_is_lost() -> None:
     """A fast host says that it follows the store seconds after it lost it."""
     async with proxies.running() as mesh:
