--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -326,7 +326,12 @@
             )
 
     async def _follow(self) -> None:
-        """Tell slow neighbours of the store, or read it in their place."""
+        """Tell slow neighbours of the store, or read it in their place.
+
+        Daemons that started together would all look at the same time, and
+        read before they hear that another one does.
+        """
+        await asyncio.sleep(following.BEAT_S * self.randomness.random())
         while not tasks.cancelled():
             await asyncio.sleep(following.BEAT_S)
             if self.versions.following.slow:
