Soak: faults of many hosts at once

All hosts lose power and one stays away longer; the store refuses some hosts and their leases end; targets turn all requests away and look well; a target leaves for good; refused callers ask again at once. With dice of their own, so that seeds of before draw what they drew.

--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -15,6 +15,11 @@
 @click.command(epilog='Example: python -m testing.soak --seed 7')
 @click.option('--seed', 'seeds', type=int, multiple=True, help='Play it.')
 @click.option('--fresh', default=0, help='Play so many new seeds.')
+@click.option(
+    '--fleet-faults',
+    is_flag=True,
+    help='Faults of many hosts at once, beside those of single ones.',
+)
 @click.option('--seconds', default=20.0, help='How long faults come.')
 @click.option(
     '--folder',
@@ -23,7 +28,11 @@
     help='For logs; those of seeds that broke nothing are removed.',
 )
 def main(
-    seeds: tuple[int, ...], fresh: int, seconds: float, folder: pathlib.Path
+    seeds: tuple[int, ...],
+    fresh: int,
+    fleet_faults: bool,
+    seconds: float,
+    folder: pathlib.Path,
 ) -> None:
     """Run the programs under faults; exit with 1 if a promise broke."""
     # Whoever ends the soak ends its processes with it; a shell that starts
@@ -36,7 +45,7 @@
     for seed in drawn:
         place = folder / str(seed)
         shutil.rmtree(place, ignore_errors=True)
-        verdict = asyncio.run(runs.run(seed, seconds, place))
+        verdict = asyncio.run(runs.run(seed, seconds, place, fleet_faults))
         click.echo(
             f'seed {seed}: {verdict.faults} faults, {verdict.asked} asked, '
             f'{verdict.answered} answered, {verdict.served} served, '
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers of one host, who go on whatever happens to it."""
 
 import asyncio
+import dataclasses
 import itertools
 import random
 import time
@@ -21,6 +22,8 @@
 VERSION_SHARE = 0.15
 NEW_CONNECTION_SHARE = 0.1
 MAX_WORK_MS = 120
+ABUSE_TIMES = 5
+"""How often a caller that abuses retries asks again at once."""
 ODD_ACTIONS = (
     'failed',
     'truncated',
@@ -75,12 +78,23 @@
         while not stop.is_set():
             await asyncio.sleep(self.dice.expovariate(1 / PAUSE_S))
             asked = self._draw()
-            self.seen.asked.append(asked)
-            again = await self._ask(caller, asked)
-            asked.ended = time.monotonic()
+            again = await self._ask_noted(caller, asked)
+            for _ in range(ABUSE_TIMES):
+                if not (again and self.newest.abused and asked.status == 503):
+                    break
+                asked = self._again(asked)
+                again = await self._ask_noted(caller, asked)
             if not again or self.dice.random() < NEW_CONNECTION_SHARE:
                 return
 
+    async def _ask_noted(
+        self, caller: proxies.Caller, asked: records.Asked
+    ) -> bool:
+        self.seen.asked.append(asked)
+        again = await self._ask(caller, asked)
+        asked.ended = time.monotonic()
+        return again
+
     def _draw(self) -> records.Asked:
         once = self.dice.random() < 0.45
         kind = records.Kind.ONCE if once else records.Kind.IDEMPOTENT
@@ -148,12 +162,30 @@
         asked.body = answer.body
         return answer.headers.get('connection', '').lower() != 'close'
 
+    def _again(self, asked: records.Asked) -> records.Asked:
+        """Return a refused request as its caller sends it at once again."""
+        body = self._body(asked.kind, next(self.numbers))
+        return dataclasses.replace(
+            asked,
+            attempt=f'{self.host.name}-{next(self.numbers)}',
+            digest=worker_program.digest(body),
+            ending=records.Ending.SILENT,
+            status=0,
+            proof='',
+            body=body,
+        )
+
 
 class Newest:
-    """Numbers of the versions that routes were named after."""
+    """What callers know of the fleet.
+
+    :param version: routes are named after.
+    :param abused: refused callers ask again at once.
+    """
 
     def __init__(self) -> None:
         self.version = 0
+        self.abused = False
 
     def draw(self, dice: random.Random) -> int:
         return max(1, self.version - dice.randint(0, 4))
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -15,6 +15,7 @@
 from testing.soak import records
 from testing.standins import kv as kv_standin
 
+HOST_RECORDS = 'peridotpost/hosts/'
 RESTART_S = 1.0
 """From a start until the process answers; it counts as disrupted so long."""
 
@@ -175,3 +176,81 @@
 @inject.register
 async def _(fault: plan.ConfigChange, world: World) -> None:
     await world.configure()
+
+
+@inject.register
+async def _(fault: plan.PowerLoss, world: World) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        for name in sorted(world.fleet):
+            # Both in one order for all, so that two losses do not wait for
+            # each other.
+            for process in ('daemon', 'target'):
+                await stack.enter_async_context(
+                    world.only_one(f'{name} {process}')
+                )
+            await stack.enter_async_context(
+                world.disrupting(name, 'target and daemon lost power')
+            )
+        hosts = world.fleet.values()
+        await asyncio.gather(
+            *(one.end_daemon(signal.SIGKILL) for one in hosts),
+            *(one.end_target(signal.SIGKILL) for one in hosts),
+        )
+        await asyncio.sleep(fault.lasts_s)
+        late = [world.fleet[name] for name in fault.stay_away]
+        for host in hosts:
+            if host not in late:
+                await _start(host)
+        await asyncio.sleep(plan.AWAY_S)
+        for host in late:
+            await _start(host)
+        await asyncio.sleep(RESTART_S)
+
+
+async def _start(host: hosts.Host) -> None:
+    await host.start_daemon()
+    await host.start_target(same_id=False)
+
+
+@inject.register
+async def _(fault: plan.TurnedAway, world: World) -> None:
+    kv = world.kv
+    async with contextlib.AsyncExitStack() as stack:
+        for name in fault.hosts:
+            await stack.enter_async_context(
+                world.disrupting(name, 'store refuses this host')
+            )
+            link = world.fleet[name].links['store']
+            link.refuse = True
+            link.reset()
+            record = kv.items.get(f'{HOST_RECORDS}{name}')
+            if record is not None:
+                await kv.end_lease(record.lease)
+        await asyncio.sleep(fault.lasts_s)
+        for name in fault.hosts:
+            world.fleet[name].links['store'].refuse = False
+
+
+@inject.register
+async def _(fault: plan.Shedding, world: World) -> None:
+    for name in fault.hosts:
+        world.fleet[name].signal_target(signal.SIGUSR1)
+    await asyncio.sleep(fault.lasts_s)
+    for name in fault.hosts:
+        world.fleet[name].signal_target(signal.SIGUSR2)
+
+
+@inject.register
+async def _(fault: plan.ScaleIn, world: World) -> None:
+    host = world.fleet[fault.host]
+    async with world.only_one(f'{fault.host} target'):
+        async with world.disrupting(fault.host, 'target leaves for good'):
+            host.retired = True
+            await host.end_target(signal.SIGTERM)
+
+
+@inject.register
+async def _(fault: plan.RetryAbuse, world: World) -> None:
+    world.newest.abused = True
+    await asyncio.sleep(fault.lasts_s)
+    world.newest.abused = False
--- a/testing/soak/hosts.py
+++ b/testing/soak/hosts.py
@@ -56,6 +56,7 @@
         self.target: asyncio.subprocess.Process | None = None
         self.links: dict[str, relay.Relay] = {}
         self.births = 1
+        self.retired = False
         self.watching: set[asyncio.Task[None]] = set()
         self.expected: set[int] = set()
 
@@ -88,6 +89,9 @@
         task.add_done_callback(self.watching.discard)
 
     async def start_target(self, same_id: bool) -> None:
+        """Start the target, unless it was taken away for good."""
+        if self.retired:
+            return
         if not same_id:
             self.births += 1
         place = self.place
--- a/testing/soak/plan.py
+++ b/testing/soak/plan.py
@@ -71,6 +71,44 @@
     """A new version: a route comes, one goes."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PowerLoss(Fault):
+    """All processes of all hosts end at once.
+
+    :param stay_away: hosts that come back ``AWAY_S`` after the others.
+    """
+
+    stay_away: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TurnedAway(Fault):
+    """The store refuses some hosts, whose leases end, and serves others."""
+
+    hosts: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shedding(Fault):
+    """Targets of some hosts turn all requests away, unrun, and look well."""
+
+    hosts: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScaleIn(Fault):
+    """A target leaves and does not come back."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAbuse(Fault):
+    """Refused callers ask again at once, whatever they are told."""
+
+
+AWAY_S = 3.0
+FLEET_EPISODES = 4
+
+
 def draw(seed: int, seconds: float, hosts: list[str]) -> list[Fault]:
     """Return the faults of `seed` in order of time."""
     dice = random.Random(seed)
@@ -92,6 +130,31 @@
     return sorted(faults, key=lambda one: one.at)
 
 
+def draw_fleet(seed: int, seconds: float, hosts: list[str]) -> list[Fault]:
+    """Return faults of many hosts at once, beside those of `draw`.
+
+    They have dice of their own, so that seeds that were played without them
+    still draw what they drew.
+    """
+    dice = random.Random(f'{seed} fleet')
+    faults: list[Fault] = [ScaleIn(dice.uniform(0, seconds), 0.0, hosts[0])]
+    for _ in range(FLEET_EPISODES):
+        at = dice.uniform(0.0, seconds)
+        lasts_s = dice.uniform(*LASTS_S)
+        some = tuple(dice.sample(hosts, dice.randint(1, len(hosts) - 1)))
+        faults.append(
+            dice.choice(
+                [
+                    PowerLoss(at, lasts_s, '', some[:1]),
+                    TurnedAway(at, lasts_s, '', some),
+                    Shedding(at, lasts_s, '', some),
+                    RetryAbuse(at, lasts_s, ''),
+                ]
+            )
+        )
+    return sorted(faults, key=lambda one: one.at)
+
+
 def _link(
     dice: random.Random, at: float, lasts_s: float, host: str
 ) -> LinkFault:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import signal
 import time
 
 from peridotpost.kernel import tasks
@@ -61,14 +62,28 @@
     return f'127.{1 + pid // 250 % 250}.{1 + pid % 250}'
 
 
-async def run(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
-    """Play a seed; the processes' logs stay in `folder`."""
+async def run(
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    fleet_faults: bool = False,
+) -> Verdict:
+    """Play a seed; the processes' logs stay in `folder`.
+
+    :param fleet_faults: those of ``plan.draw_fleet`` as well.
+    """
+    # Targets inherit it; one that is told to shed before it listens to the
+    # signal would end.
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    signal.signal(signal.SIGUSR2, signal.SIG_IGN)
     folder.mkdir(parents=True, exist_ok=True)
     seen = records.Records()
     kv = kv_standin.Kv()
     newest = callers.Newest()
     names = [f'h{number}' for number in range(1, len(LAYOUT) + 1)]
     drawn = plan.draw(seed, seconds, names)
+    if fleet_faults:
+        drawn += plan.draw_fleet(seed, seconds, names)
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(kv_standin.serving(kv))
         fleet: dict[str, hosts.Host] = {}
--- a/testing/soak/worker_program.py
+++ b/testing/soak/worker_program.py
@@ -1,7 +1,8 @@
 """A target as a process: announces itself, runs requests, notes them.
 
 On SIGTERM it drains: it says so until that is acknowledged, serves on for
-``DRAIN_S``, then leaves and ends.
+``DRAIN_S``, then leaves and ends.  From SIGUSR1 to SIGUSR2 it turns all
+requests away.
 """
 
 import asyncio
@@ -139,6 +140,8 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, setattr, worker, 'sheds', True)
+    loop.add_signal_handler(signal.SIGUSR2, setattr, worker, 'sheds', False)
     server = await asyncio.start_server(worker.serve, address, int(port))
     async with server:
         while not stop.is_set():
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -27,11 +27,15 @@
 
 
 class Worker:
-    """One target; counts what it ran, and what it saw leave."""
+    """One target; counts what it ran, and what it saw leave.
+
+    ``sheds`` has it turn all requests away, unrun.
+    """
 
     def __init__(self, instance: str, slots: int = 4) -> None:
         self.instance = instance
         self.slots = slots
+        self.sheds = False
         self.runs: list[Run] = []
         self.rejected: list[Run] = []
         self.dropped: list[Run] = []
@@ -91,7 +95,7 @@
             )
             return True
         action = run.target.partition('?')[0].rpartition('/')[2]
-        if action == 'shed':
+        if self.sheds or action == 'shed':
             self.rejected.append(run)
             writer.write(
                 b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n'
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -188,28 +188,31 @@
     hosts = ['h1', 'h2']
     assert plan.draw(5, 20.0, hosts) == plan.draw(5, 20.0, hosts)
     assert plan.draw(5, 20.0, hosts) != plan.draw(6, 20.0, hosts)
+    assert plan.draw_fleet(5, 20.0, hosts) == plan.draw_fleet(5, 20.0, hosts)
+    assert plan.draw_fleet(5, 20.0, hosts) != plan.draw_fleet(6, 20.0, hosts)
 
 
 @pytest.mark.processes
 @pytest.mark.parametrize(
-    ('seed', 'seconds'),
+    ('seed', 'seconds', 'fleet_faults'),
     [
-        pytest.param(1, 6.0, id='any'),
+        pytest.param(1, 6.0, False, id='any'),
+        pytest.param(4, 8.0, True, id='many hosts at once'),
         # The store fell silent; the watches sent meanwhile were lost, and
         # new versions were in force seconds late on all hosts.
-        pytest.param(382471730, 20.0, id='watches lost in an outage'),
+        pytest.param(382471730, 20.0, False, id='watches lost in an outage'),
         # A daemon was told to reload while it started, and ended.
-        pytest.param(180368104, 20.0, id='reload during a start'),
+        pytest.param(180368104, 20.0, False, id='reload during a start'),
     ],
 )
 def test_the_programs_keep_their_promises_under_faults(
-    seed: int, seconds: float, tmp_path: pathlib.Path
+    seed: int, seconds: float, fleet_faults: bool, tmp_path: pathlib.Path
 ) -> None:
     """The real programs under the faults of a seed.
 
-    The second seed and those after it broke a promise once; the line at
+    The third seed and those after it broke a promise once; the line at
     each says what callers saw, and why.
     """
-    verdict = asyncio.run(runs.run(seed, seconds, tmp_path))
+    verdict = asyncio.run(runs.run(seed, seconds, tmp_path, fleet_faults))
     assert verdict.broken == []
     assert verdict.served
