--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -158,12 +158,17 @@
         assert slow.proxy.counts.totals['config.read'] == 0
 
 
-async def test_a_slow_link_reads_the_store_when_no_neighbour_does(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+@pytest.fixture
+def read_all_the_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Hosts with slow links read the store at each look, one in 10 ms."""
     monkeypatch.setattr('peridotpost.decisions.following.HEARD_S', 0.0)
     monkeypatch.setattr('peridotpost.decisions.following.READ_EVERY_S', 0.0)
     monkeypatch.setattr('peridotpost.decisions.following.BEAT_S', 0.01)
+
+
+async def test_a_slow_link_reads_the_store_when_no_neighbour_does(
+    read_all_the_time: None,
+) -> None:
     async with proxies.running() as mesh:
         await mesh.kv.configure(proxies.config(1))
         first = await mesh.add('a', link_mbps=5.0)
@@ -224,12 +229,9 @@
 
 
 async def test_a_slow_link_says_that_it_reads_the_store(
-    monkeypatch: pytest.MonkeyPatch,
+    read_all_the_time: None,
 ) -> None:
     """Nobody follows the store; both hosts would read it all the time."""
-    monkeypatch.setattr('peridotpost.decisions.following.HEARD_S', 0.0)
-    monkeypatch.setattr('peridotpost.decisions.following.READ_EVERY_S', 0.0)
-    monkeypatch.setattr('peridotpost.decisions.following.BEAT_S', 0.01)
     async with proxies.running() as mesh:
         await mesh.kv.configure(proxies.config(1))
         first = await mesh.add('a', link_mbps=5.0)
