--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,6 +17,7 @@
 
 from bench import figures
 from bench import fleets
+from bench import jsonout
 from bench import texts
 from peridotpost.border import text as text_border
 from peridotpost.decisions import fleet as fleet_rules
@@ -327,10 +328,7 @@
 @click.option('--output', type=click.Path(path_type=pathlib.Path))
 def main(output: pathlib.Path | None) -> None:
     """Measure at 5,200 members and 150 services; write JSON."""
-    shown = json.dumps(measure(), indent=1, sort_keys=True)
-    if output is not None:
-        output.write_text(shown + '\n')
-    click.echo(shown)
+    jsonout.tell(measure(), output)
 
 
 if __name__ == '__main__':
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import json
 import pathlib
 import random
 import tempfile
@@ -16,6 +15,7 @@
 import click
 
 from bench import figures
+from bench import jsonout
 from bench import meshes
 from bench import observed
 from bench import texts
@@ -264,10 +264,7 @@
     found = asyncio.run(
         measure(zones, hosts_per_zone, services, repetitions, seconds)
     )
-    shown = json.dumps(found, indent=1, sort_keys=True)
-    if output is not None:
-        output.write_text(shown + '\n')
-    click.echo(shown)
+    jsonout.tell(found, output)
 
 
 if __name__ == '__main__':
--- a/bench/framing.py
+++ b/bench/framing.py
@@ -12,7 +12,6 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
-import json
 import pathlib
 import random
 from typing import Any
@@ -21,6 +20,7 @@
 
 from bench import figures
 from bench import fleets
+from bench import jsonout
 from peridotpost.distribution import dialling
 from peridotpost.distribution import links
 from peridotpost.distribution import reconcile
@@ -192,10 +192,7 @@
 @click.option('--output', type=click.Path(path_type=pathlib.Path))
 def main(output: pathlib.Path | None) -> None:
     """Measure the overhead of framing; write JSON."""
-    shown = json.dumps(asyncio.run(measure()), indent=1, sort_keys=True)
-    if output is not None:
-        output.write_text(shown + '\n')
-    click.echo(shown)
+    jsonout.tell(asyncio.run(measure()), output)
 
 
 if __name__ == '__main__':
--- a/bench/path.py
+++ b/bench/path.py
@@ -22,6 +22,7 @@
 import click
 
 from bench import figures
+from bench import jsonout
 from bench import meshes
 from peridotpost.load import client
 from peridotpost.load import histogram
@@ -302,10 +303,7 @@
 ) -> None:
     """Measure the path's added latency; write JSON."""
     found = asyncio.run(measure(rate, seconds, profile))
-    shown = json.dumps(found, indent=1, sort_keys=True)
-    if output is not None:
-        output.write_text(shown + '\n')
-    click.echo(shown)
+    jsonout.tell(found, output)
 
 
 if __name__ == '__main__':
--- a/bench/ways.py
+++ b/bench/ways.py
@@ -19,6 +19,7 @@
 
 from bench import convergence
 from bench import figures
+from bench import jsonout
 from bench import meshes
 from bench import texts
 from peridotpost.cli import operator
@@ -206,10 +207,7 @@
 ) -> None:
     """Compare both ways; write JSON."""
     found = asyncio.run(measure(hosts_per_zone, services, repetitions))
-    shown = json.dumps(found, indent=1, sort_keys=True)
-    if output is not None:
-        output.write_text(shown + '\n')
-    click.echo(shown)
+    jsonout.tell(found, output)
 
 
 if __name__ == '__main__':
