Store calls are counted by kind; one current read of the records, longer leases

Change: a host registers before its one current read, so that of two hosts which start together one finds the other; stale reads grow rarer while nothing fails; leases live for 15 s and are renewed each 5 s. Since renewals no longer show an outage soon, a failed watch or read has the lease renewed at once, and hosts with slow links probe seldom and wait for the word of one that follows the store.

Ruled out: a single watch a zone (CONFIG rests on it when stores turn single hosts away), longer watches (connections that went silent are found by their end), records without leases (dead hosts would stay).

--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -75,9 +75,14 @@
         """Whether this daemon reads the store for others, and reaches it."""
         return self.answers is True and not self.slow
 
-    def heard(self, host: str, now: float) -> None:
-        """Note that a host with a fast link says that it follows."""
+    def heard(self, host: str, now: float) -> bool:
+        """Note that a host with a fast link says that it follows.
+
+        Returns whether no other one was known to follow.
+        """
+        first = not self.heard_by_host
         self.heard_by_host[host] = now
+        return first
 
     def lost(self, host: str) -> None:
         """Note that a host says that the store does not answer it."""
--- /dev/null
+++ b/src/peridotpost/mesh/countedfeed.py
@@ -0,0 +1,56 @@
+"""Counts the calls to the platform's store, by kind.
+
+The store's capacity is shared by the fleet, so operators need to see which
+calls a daemon makes and how often.
+"""
+
+from collections.abc import Sequence
+
+from peridotpost.kernel import counters
+from peridotpost.mesh import storefeed
+from peridotpost.model import instances
+
+PREFIX = 'store.calls.'
+
+
+class CountedFeed:
+    """A ``storefeed.Feed`` that adds each call to ``store.calls.KIND``."""
+
+    def __init__(
+        self, feed: storefeed.Feed, counts: counters.Counters
+    ) -> None:
+        self.feed = feed
+        self.counts = counts
+
+    async def read_config(self) -> storefeed.ConfigRead:
+        self._count('read-config')
+        return await self.feed.read_config()
+
+    async def next_config(self, revision: int) -> storefeed.ConfigRead:
+        self._count('watch')
+        return await self.feed.next_config(revision)
+
+    async def read_records(
+        self, stale: bool
+    ) -> Sequence[instances.HostRecord]:
+        self._count('read-records-stale' if stale else 'read-records')
+        return await self.feed.read_records(stale)
+
+    async def register(self, record: instances.HostRecord, lease: int) -> None:
+        self._count('register')
+        await self.feed.register(record, lease)
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        self._count('grant-lease')
+        return await self.feed.grant_lease(ttl_s)
+
+    async def renew(self, lease: int) -> bool:
+        self._count('renew-lease')
+        return await self.feed.renew(lease)
+
+    async def end(self, lease: int) -> None:
+        self._count('end-lease')
+        await self.feed.end(lease)
+
+    def _count(self, kind: str) -> None:
+        self.counts.add(PREFIX + kind)
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -17,6 +17,7 @@
 from peridotpost.kernel import registry
 from peridotpost.kernel import tasks
 from peridotpost.mesh import adapter as adapters
+from peridotpost.mesh import countedfeed
 from peridotpost.mesh import directory as directories
 from peridotpost.mesh import metrics
 from peridotpost.mesh import storefeed
@@ -115,7 +116,7 @@
             self.log,
         )
         self.feed = storefeed.StoreFeed(
-            self.adapter.feed,
+            countedfeed.CountedFeed(self.adapter.feed, self.counts),
             self.own,
             self.directory,
             self.versions,
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -27,6 +27,9 @@
 """Pauses while the store is out.  Records that lapsed meanwhile have to be
 back within two seconds of its return, so the longest is under half that;
 at 5,200 daemons it is 6,500 refused calls a second for the store."""
+MAX_SLOW_RETRY_S = 3.2
+"""The same for a host with a slow link: those of its zone that follow the
+store tell it when the store is back."""
 OUT_S = 2.5
 """How long the reads wait for the record's call to come through; it is the
 one that tries all the time while the store is out.  Bounds the damage if
@@ -36,16 +39,14 @@
 store is asked at most so often by each daemon while versions come several
 a second or a whole fleet registers, and a version still is in force well
 within the two seconds that operators count on."""
-FRESH_READS = 2
-FRESH_POLL_S = 1.0
 POLL_S = 2.5
-"""Pauses between reads of the records: the first ones current, to find
-those that start at the same time, then stale ones, at a tenth of a call."""
+MAX_POLL_S = 10.0
+"""Pauses between stale reads of the records; they double while nothing
+fails, as hosts that join dial the others."""
 SETTLED_S = 8.0
-"""Age of an own record from which a read without it counts: stale reads
-were seen some three seconds old."""
-LEASE_TTL_S = 5.0
-RENEW_S = 1.6
+"""Age of an own record from which a stale read without it counts."""
+LEASE_TTL_S = 15.0
+RENEW_S = 5.0
 """A third of the lease: two renewals may fail before it lapses."""
 
 
@@ -116,7 +117,9 @@
         self.written_at = 0.0
         self.wake = asyncio.Event()
         self.back = asyncio.Event()
+        self.registered = asyncio.Event()
         self.calls_fail = False
+        versions.followed_again.subscribe(self._followed_again)
 
     @property
     def reachable(self) -> bool | None:
@@ -145,6 +148,7 @@
                 revision = 0
             except errors.StoreError as error:
                 self._note(False, str(error))
+                self._check_store()
                 # A store that forgets its history may leave watches without
                 # an answer; a version that came in that time shows in no
                 # watch from the same revision, but in a read.
@@ -201,26 +205,38 @@
     async def poll_records(self) -> None:
         """Read the hosts' records now and then, until cancelled.
 
-        A host that joins dials all that it reads of, so nobody needs to
-        be told of it by the store; the polls bring together those that
-        started at once, or were cut off from each other.
+        A stale read finds the hosts that have been there for a while.  The
+        read after this host's registration is current: of two hosts that
+        start together at least one registers before the other reads, and
+        dials it.  Stale reads that follow find hosts that were cut off.
         """
-        reads = 0
+        await self._read_records(stale=True)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(OUT_S):
+                await self.registered.wait()
+        while not await self._read_records(stale=False):
+            await self._pause(MAX_RETRY_S)
+        pause_s = POLL_S
         while not tasks.cancelled():
-            stale = reads >= FRESH_READS
-            try:
-                records = await self.feed.read_records(stale)
-                self._take_records(records)
-                self._note_reads(True, '')
-                self._calls_answered(True)
-                reads += 1
-                pause_s = POLL_S if stale else FRESH_POLL_S
-            except errors.StoreError as error:
-                self.counts.add('store.records-failed')
-                self._note_reads(False, str(error))
-                await self._pause(MAX_RETRY_S)
-                continue
             await asyncio.sleep(pause_s * self._spread())
+            pause_s = min(MAX_POLL_S, 2 * pause_s)
+            while not await self._read_records(stale=True):
+                await self._pause(MAX_RETRY_S)
+                pause_s = POLL_S
+
+    async def _read_records(self, stale: bool) -> bool:
+        """Take the records of all hosts; False where the store gave none."""
+        try:
+            records = await self.feed.read_records(stale)
+        except errors.StoreError as error:
+            self.counts.add('store.records-failed')
+            self._note_reads(False, str(error))
+            self._check_store()
+            return False
+        self._take_records(records)
+        self._note_reads(True, '')
+        self._calls_answered(True)
+        return True
 
     async def read_if_unheard(self) -> None:
         """Read the configuration if those who follow it are not heard of."""
@@ -241,31 +257,57 @@
         pause_s = RETRY_S
         while not tasks.cancelled():
             try:
-                if not self.lease:
-                    self.lease = await self.feed.grant_lease(LEASE_TTL_S)
-                    self.written = False
-                if not self.written:
-                    await self.feed.register(self.own, self.lease)
-                    self.written = True
-                    self.written_at = deadlines.now()
-                    self.log.state('record', to='written', lease=self.lease)
-                    self._calls_answered(True)
-                await self._rest(RENEW_S * (0.9 + 0.1 * self._spread()))
-                if not self.written:
-                    continue
-                if not await self.feed.renew(self.lease):
-                    self.log.state('record', to='lapsed', lease=self.lease)
-                    self.lease = 0
+                if self.written and not self.calls_fail:
+                    await self._rest(RENEW_S * (0.9 + 0.1 * self._spread()))
+                await self._renew_or_register()
                 pause_s = RETRY_S
                 self._calls_answered(True)
             except errors.LeaseLapsed:
-                self.lease = 0
+                self._lapsed()
             except errors.StoreError as error:
                 self.counts.add('store.record-failed')
                 self._note(False, str(error))
                 self._calls_answered(False)
-                await asyncio.sleep(pause_s * self._spread())
-                pause_s = min(MAX_RETRY_S, 1.5 * pause_s)
+                await self._rest(pause_s * self._spread())
+                pause_s = min(self._max_retry_s, 1.5 * pause_s)
+
+    @property
+    def _max_retry_s(self) -> float:
+        slow = self.versions.following.slow
+        return MAX_SLOW_RETRY_S if slow else MAX_RETRY_S
+
+    def _followed_again(self, host: str) -> None:
+        """A host of the zone reaches the store again; see at once."""
+        if self.calls_fail:
+            self.wake.set()
+
+    async def _renew_or_register(self) -> None:
+        """Renew the lease of a record that stands, else write the record."""
+        if self.written:
+            if not await self.feed.renew(self.lease):
+                self._lapsed()
+            return
+        if not self.lease:
+            self.lease = await self.feed.grant_lease(LEASE_TTL_S)
+        await self.feed.register(self.own, self.lease)
+        self.written = True
+        self.written_at = deadlines.now()
+        self.registered.set()
+        self.log.state('record', to='written', lease=self.lease)
+
+    def _lapsed(self) -> None:
+        self.log.state('record', to='lapsed', lease=self.lease)
+        self.lease = 0
+        self.written = False
+
+    def _check_store(self) -> None:
+        """Renew the lease at once, to see whether the store answers.
+
+        While it does not, the renewals go on and all other calls wait.  A
+        renewal is the cheapest call that the store has.
+        """
+        if self.lease and not self.calls_fail:
+            self.wake.set()
 
     def record_lost(self) -> None:
         """The store dropped this host's record; write it again at once."""
@@ -282,7 +324,7 @@
             self.log.state('record', to='left-to-lapse', error=str(error))
 
     async def _rest(self, seconds: float) -> None:
-        """Sleep, unless the record is lost meanwhile."""
+        """Sleep, unless the next call is due sooner."""
         self.wake.clear()
         try:
             async with asyncio.timeout(seconds):
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -11,6 +11,7 @@
 
 from peridotpost.decisions import following
 from peridotpost.kernel import counters
+from peridotpost.kernel import hooks
 from peridotpost.kernel import lines
 from peridotpost.mesh import directory as directories
 from peridotpost.model import mesh
@@ -70,6 +71,7 @@
         self.frames_by_base: dict[int, frames.Config | frames.ConfigDelta] = {}
         self.applied_at = deadlines.now()
         self.first_asked_at = -FIRST_AGAIN_S
+        self.followed_again: hooks.Hook[str] = hooks.Hook('followed-again')
         directory.noticed.subscribe(self._noticed)
         directory.met_hook.subscribe(self._met)
 
@@ -155,7 +157,8 @@
         if told.following and stream.slow and not far:
             self.following.others_read(deadlines.now())
         elif told.following and not far:
-            self.following.heard(stream.host, deadlines.now())
+            if self.following.heard(stream.host, deadlines.now()):
+                self.followed_again.fire(stream.host)
         elif told.following is False and not far:
             self.following.lost(stream.host)
         if told.version <= self.version:
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from peridotpost.mesh import directory as directories
 from peridotpost.mesh import storefeed
 from peridotpost.model import errors
 from peridotpost.platform import store
@@ -326,6 +327,68 @@
             await conditions.until(functools.partial(_is_in_force, host, 3))
 
 
+async def test_hosts_that_start_together_find_each_other_by_one_read() -> None:
+    """A fleet that starts at once reads all its records over and over."""
+    async with proxies.pair() as (_mesh, first, second):
+        for host, other in ((first, 'b'), (second, 'a')):
+            counts = host.proxy.counts.totals
+            await conditions.until(
+                functools.partial(_reaches, host.proxy.directory, other)
+            )
+            assert counts['store.calls.read-records'] == 1
+            assert counts['store.calls.grant-lease'] == 1
+            assert counts['store.calls.register'] == 1
+
+
+async def test_a_watch_that_fails_has_the_store_checked_by_renewals(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Reads go on all through an outage until the next renewal is due."""
+    monkeypatch.setattr(storefeed, 'RENEW_S', 3600.0)
+    monkeypatch.setattr(storefeed, 'OUT_S', 3600.0)
+    monkeypatch.setattr(storefeed, 'MAX_RETRY_S', 0.02)
+    async with proxies.pair() as (mesh, first, _second):
+        mesh.kv.status = 503
+        await mesh.kv.compact()
+        await conditions.until(
+            functools.partial(_counted, first, 'store.record-failed')
+        )
+        mesh.kv.calls.clear()
+        await conditions.until(lambda: len(mesh.kv.calls) > 100)
+        reads = sum('kv-keep' not in path for path in mesh.kv.calls)
+        assert reads <= 2 * 3
+
+
+async def test_slow_links_check_the_store_when_a_neighbour_follows_it_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each host of a large fleet tries the store all through an outage."""
+    monkeypatch.setattr(storefeed, 'RENEW_S', 0.05)
+    monkeypatch.setattr(storefeed, 'RETRY_S', 3600.0)
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config(1))
+        await mesh.add('fast')
+        slow = await mesh.add('slow', link_mbps=5.0)
+        following = slow.proxy.versions.following
+        await conditions.until(lambda: 'fast' in following.heard_by_host)
+
+        async def refused(lease: int) -> bool:
+            raise errors.StoreRefused('status 503', step='kv-keep')
+
+        monkeypatch.setattr(slow.proxy.adapter.feed, 'renew', refused)
+        await conditions.until(lambda: slow.proxy.feed.calls_fail)
+        failed = slow.proxy.counts.totals['store.record-failed']
+        following.lost('fast')
+        await conditions.until(
+            lambda: slow.proxy.counts.totals['store.record-failed'] > failed
+        )
+
+
+def _reaches(directory: directories.Directory, host: str) -> bool:
+    peer = directory.peers.get(host)
+    return peer is not None and peer.stream is not None
+
+
 def _counted(host: proxies.Host, name: str) -> bool:
     return host.proxy.counts.totals[name] > 0
 
