The guards of a service keep its budget of repeats

Two things met: calls of a repeated run are repeats at the service that is called, 1.4 for each repeated run there, which no ingress counted; and each ingress had a part of its own, by requests it had sent itself.

Change: a dispatch says whether it is a repeat, the guard counts first arrivals and repeats of its target, and takes its part of the bound (.7). Requests of a host count by the share of repeats among the runs of its target. Repeats after an answer that tells of a failure get .2: most of these failures are of the run's calls. An ingress keeps such an answer and delivers it if the repeat brings none; so far a read that had run and failed could end as "not run".

Ruled out: calls told from other requests by their connection or address (both come from the host), or by the routes (no dependencies in the configuration).

--- a/src/peridotpost/decisions/attempts.py
+++ b/src/peridotpost/decisions/attempts.py
@@ -10,10 +10,13 @@
   ``MAX_REFUSALS`` of them.  Each question costs a way there and back;
   beyond a few the fleet is full, and the caller is told so sooner.
 - After a run, or what may have been one, only an idempotent request goes
-  to another target, within the route's attempts, the time left and the
-  fleet's budget of repeats.
+  to another target, within the route's attempts and the time left.  What
+  arrived at one target is a repeat at the next, whose guard keeps the budget
+  of these (``budget``); when two had none left, no third is asked.
+- An answer that tells of a failure is kept, and is the answer if the repeat
+  brings no other one.
 - A target's own refusal is no run, so it uses up none of the route's
-  attempts; it did arrive there, so the next try takes from the budget.
+  attempts; it did arrive there, so the next try is a repeat.
   With one attempt a route, an ailing target that turns away half of what
   it gets failed every second call of other targets, and each of those
   failed the request that it was made for.
@@ -24,13 +27,13 @@
   its target's work with it.
 """
 
-from collections.abc import Callable
 import dataclasses
 import enum
 
 from peridotpost.model import forwarding
 
 MAX_REFUSALS = 4
+MAX_BUDGET_REFUSALS = 2
 MIN_REPEAT_S = 0.03
 """Less time than this is left: no other target could answer."""
 FAILED_STATUS = 500
@@ -49,47 +52,42 @@
     """The dispatches of one request so far.
 
     :param arrivals: dispatches that reached a target.
-    :param runs: those that it ran, or may have run.
+    :param runs: those that a target ran, or may have run.
     :param lost: why an answer was lost; empty if none was.
+    :param failed: a target's answer that tells of a failure.
+    :param repeat: what the next dispatch is to the target that it goes to.
     """
 
     idempotent: bool
     max_attempts: int
     deadline: float
     refusals: int = 0
+    budget_refusals: int = 0
     arrivals: int = 0
     runs: int = 0
     lost: str = ''
+    failed: forwarding.TargetAnswer | None = None
+    repeat: forwarding.Repeat = forwarding.Repeat.NONE
 
     @property
     def is_last(self) -> bool:
         """Whether a refusal of the next target ends the request."""
         return self.refusals + 1 >= MAX_REFUSALS
 
-    def after(
-        self,
-        outcome: forwarding.Outcome,
-        now: float,
-        may_spend: Callable[[], bool],
-    ) -> Step:
-        """Note an outcome; return what comes next.
-
-        :param may_spend: takes a repeat out of the fleet's budget.
-        """
+    def after(self, outcome: forwarding.Outcome, now: float) -> Step:
+        """Note an outcome; return what comes next."""
         if isinstance(outcome, forwarding.Refused):
-            return self._after_refusal(outcome, now, may_spend)
+            return self._after_refusal(outcome, now)
         self.arrivals += 1
         self.runs += 1
         if isinstance(outcome, forwarding.Lost):
             self.lost = outcome.detail
-            failed = True
-        else:
-            failed = outcome.status >= FAILED_STATUS
-        if failed and self.idempotent and self._may_repeat(now, may_spend):
-            return Step.AGAIN
-        if isinstance(outcome, forwarding.Lost):
-            return Step.GIVE_UP
-        return Step.ANSWER
+            return self._repeat_or(Step.GIVE_UP, now)
+        if outcome.status < FAILED_STATUS:
+            return Step.ANSWER
+        self.failed = outcome
+        self.repeat = forwarding.Repeat.AFTER_FAILURE
+        return self._repeat_or(Step.ANSWER, now)
 
     def may_follow(self, now: float) -> bool:
         """Whether another run may follow the one under way."""
@@ -99,24 +97,30 @@
             and self.deadline - now >= MIN_REPEAT_S
         )
 
-    def _after_refusal(
-        self,
-        outcome: forwarding.Refused,
-        now: float,
-        may_spend: Callable[[], bool],
-    ) -> Step:
+    def _after_refusal(self, outcome: forwarding.Refused, now: float) -> Step:
         self.refusals += 1
-        if outcome.arrived:
-            self.arrivals += 1
-            if not self._may_repeat(now, may_spend):
+        self.arrivals += outcome.arrived
+        if outcome.reason is forwarding.Refusal.NO_RETRY_BUDGET:
+            self.budget_refusals += 1
+            if self.budget_refusals >= MAX_BUDGET_REFUSALS:
                 return Step.GIVE_UP
         if self.refusals >= MAX_REFUSALS:
             return Step.GIVE_UP
+        if outcome.arrived:
+            return self._arrived(now)
         return Step.AGAIN
 
-    def _may_repeat(self, now: float, may_spend: Callable[[], bool]) -> bool:
+    def _repeat_or(self, otherwise: Step, now: float) -> Step:
+        """Return `otherwise` unless another run may follow."""
+        if self.idempotent and self._arrived(now) is Step.AGAIN:
+            return Step.AGAIN
+        return otherwise
+
+    def _arrived(self, now: float) -> Step:
+        if self.repeat is forwarding.Repeat.NONE:
+            self.repeat = forwarding.Repeat.AGAIN
         if self.runs >= self.max_attempts:
-            return False
+            return Step.GIVE_UP
         if self.deadline - now < MIN_REPEAT_S:
-            return False
-        return may_spend()
+            return Step.GIVE_UP
+        return Step.AGAIN
--- a/src/peridotpost/decisions/budget.py
+++ b/src/peridotpost/decisions/budget.py
@@ -1,37 +1,55 @@
-"""How many requests may be sent once more, over the whole fleet.
-
-Load pattern: targets lose or fail answers under a surge.  Without a bound
-each ingress sends every such request again and so adds the load that
-makes the next ones fail; a bound that each ingress keeps for itself adds
-up to many times the bound with the size of the fleet.
-
-Within any window, a service gets at most ``ratio`` of its requests, and
-``extra`` besides, as repeats from all ingresses together.  An ingress
-earns by its own requests, which add up by themselves; of `extra` it takes
-the part of one live member.  ``SHARE`` of both is used: calls that a
-repeated run makes of its own are repeats as well at the service they go
-to, and nobody can tell them from others.
+"""How many repeated requests one target takes.
+
+Load pattern: targets turn requests away, fail them or lose their answers
+under a surge.  Ingresses send such requests again and so add the load that
+makes the next ones fail; a bound that each of them keeps for itself is far
+from used up where failures are uneven, and adds up with the fleet's size
+where they are not.
+
+Over the whole fleet and in any window, a service gets at most ``ratio`` of
+its requests, and ``extra`` besides, as repeats.  All repeats for a service
+arrive at the guards of its targets, so each guard keeps its part: ``SHARE``
+of ``ratio`` by its own first arrivals, and of one target's part of `extra`.
+
+- A repeat after an answer that tells of a failure takes at most
+  ``FAILED_SHARE``: most of these failures are of calls that the run made,
+  and a repeat makes them all again.
+- Calls of a run that is a repeat are repeats at the service they go to.
+  Nothing tells them from other requests of their host, so each request
+  counts by the share of repeats among the runs of its host's target.
 """
 
 import collections
 import dataclasses
 
-SHARE = 0.5
+from peridotpost.model import forwarding
+
+SHARE = 0.7
+"""The rest covers targets whose guards restart and forget what they took."""
+FAILED_SHARE = 0.2
 SLICES = 10
 """Parts of the window; counts leave a tenth of a window late."""
 
 
 @dataclasses.dataclass(slots=True)
 class Slice:
-    """Counts of one part of the window."""
+    """Counts of one part of the window.
+
+    :param firsts: arrivals that are no repeats.
+    :param repeats: arrivals that are, and what first arrivals count for.
+    :param failed: repeats after an answer that told of a failure.
+    :param targets: most targets known of the service.
+    """
 
     number: int
-    requests: int = 0
-    repeats: int = 0
+    firsts: int = 0
+    repeats: float = 0.0
+    failed: int = 0
+    targets: int = 1
 
 
 class RetryBudget:
-    """What one ingress may send again.
+    """The repeats that one target takes.
 
     :param ratio: repeats for each request, over the fleet.
     :param extra: repeats in a window besides, over the fleet.
@@ -41,31 +59,47 @@
         self.ratio = ratio
         self.extra = extra
         self.slice_s = window_s / SLICES
-        self.services: dict[str, collections.deque[Slice]] = {}
-
-    def request(self, service: str, now: float) -> None:
-        """Count the first dispatch of a request."""
-        self._current(service, now).requests += 1
-
-    def spend(self, service: str, members: int, now: float) -> bool:
-        """Take one repeat; False when there is none left."""
-        if not self.has_room(service, members, now):
-            return False
-        self._current(service, now).repeats += 1
-        return True
-
-    def has_room(self, service: str, members: int, now: float) -> bool:
-        """Whether a repeat could be taken now."""
-        self._current(service, now)
-        held = self.services[service]
-        requests = sum(one.requests for one in held)
-        repeats = sum(one.repeats for one in held)
-        allowed = self.ratio * requests + self.extra / max(1, members)
-        return repeats + 1 <= SHARE * allowed
-
-    def _current(self, service: str, now: float) -> Slice:
+        self.held: collections.deque[Slice] = collections.deque()
+
+    def admits(
+        self, repeat: forwarding.Repeat, targets: int, now: float
+    ) -> bool:
+        """Whether a request may be sent to the target now.
+
+        :param targets: of the service, as far as they are known.
+        """
+        if repeat is forwarding.Repeat.NONE:
+            return True
+        current = self._current(now)
+        # A host that is cut off knows few; its part must not grow by that.
+        current.targets = max(current.targets, targets)
+        firsts = sum(one.firsts for one in self.held)
+        most_targets = max(one.targets for one in self.held)
+        allowed = self.ratio * firsts + self.extra / most_targets
+        if repeat is forwarding.Repeat.AFTER_FAILURE:
+            failed = sum(one.failed for one in self.held)
+            if failed + 1 > FAILED_SHARE * allowed:
+                return False
+        return sum(one.repeats for one in self.held) + 1 <= SHARE * allowed
+
+    def sent(
+        self, repeat: forwarding.Repeat, inherited: float, now: float
+    ) -> None:
+        """Count a request that goes to the target.
+
+        :param inherited: what a first arrival counts for, 0 to 1.
+        """
+        current = self._current(now)
+        if repeat is forwarding.Repeat.NONE:
+            current.firsts += 1
+            current.repeats += inherited
+            return
+        current.repeats += 1
+        current.failed += repeat is forwarding.Repeat.AFTER_FAILURE
+
+    def _current(self, now: float) -> Slice:
         number = int(now / self.slice_s)
-        held = self.services.setdefault(service, collections.deque())
+        held = self.held
         if not held or held[-1].number != number:
             held.append(Slice(number))
             while held[0].number <= number - SLICES - 1:
--- a/src/peridotpost/experiment/hosts.py
+++ b/src/peridotpost/experiment/hosts.py
@@ -85,6 +85,12 @@
         clock = self.fleet.clock
         if order.settled:
             return
+        targets = len(self.fleet.by_service[order.service])
+        if not self.budget.admits(order.repeat, targets, clock.now):
+            order.settle(
+                forwarding.Refused(forwarding.Refusal.NO_RETRY_BUDGET)
+            )
+            return
         verdict = self.queue.arrive(order, clock.now)
         if not verdict.started and not verdict.refused:
             left_s = self.queue.hopeless_at(order) - clock.now
@@ -110,6 +116,9 @@
         """Work, make the calls, answer when both are done."""
         fleet = self.fleet
         route = fleet.routes[order.route]
+        self.budget.sent(order.repeat, order.inherited, fleet.clock.now)
+        if order.repeat:
+            fleet.found[order.route].repeats += 1
         phase = fleet.ailing(self)
         if phase is not None and fleet.work_dice.random() < phase.sheds:
             verdict = self.queue.release(order, fleet.clock.now)
--- a/src/peridotpost/experiment/ingress.py
+++ b/src/peridotpost/experiment/ingress.py
@@ -163,6 +163,7 @@
             last=asking.last_asked,
             done=settled,
             route=route.name,
+            repeat=asking.attempts.repeat,
         )
 
     def _ended(
@@ -180,20 +181,8 @@
         if not isinstance(outcome, forwarding.Refused) or outcome.arrived:
             result.arrivals += 1
             candidate.note(outcome is not hosts.DONE, now)
-            if not asking.attempts.arrivals:
-                asking.host.budget.request(asking.route.service, now)
-        step = asking.attempts.after(
-            outcome, now, lambda: self._may_spend(asking)
-        )
+        step = asking.attempts.after(outcome, now)
         if step is attempts.Step.AGAIN and now < asking.deadline:
             self._dispatch(asking)
         else:
-            self._end(asking, outcome)
-
-    def _may_spend(self, asking: Asking) -> bool:
-        spent = asking.host.budget.spend(
-            asking.route.service, len(self.world.hosts), self.world.clock.now
-        )
-        if spent:
-            self.world.found[asking.route.name].repeats += 1
-        return spent
+            self._end(asking, asking.attempts.failed or outcome)
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -85,7 +85,16 @@
         headers = self.adapter.headers
         self.sweep = deadlines.Deadlines()
         self.guard = guards.Guard(
-            headers, self.randomness, self.sweep, self.counts, self.log
+            headers,
+            self.randomness,
+            self.sweep,
+            budget.RetryBudget(
+                settings.retries.ratio,
+                settings.retries.extra,
+                settings.retries.window_s,
+            ),
+            self.counts,
+            self.log,
         )
         self.directory = directories.Directory(
             self.own, self.guard, self.randomness, self.counts, self.log
@@ -95,11 +104,6 @@
             settings.service,
             self.directory,
             selection.Selector(settings.availability_zone, self.randomness),
-            budget.RetryBudget(
-                settings.retries.ratio,
-                settings.retries.extra,
-                settings.retries.window_s,
-            ),
             self.sweep,
             self.counts,
             self.log,
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -83,6 +83,7 @@
             own.host, own.availability_zone
         )
         self.closed = False
+        guard.siblings = self.siblings
         guard.changed.subscribe(self._own_target_changed)
 
     # What an ingress asks.
@@ -120,6 +121,18 @@
         if peer is not None and peer.stream is not None:
             peer.stream.withdraw(order)
 
+    def repeat_share(self) -> float:
+        return self.guard.repeat_share()
+
+    def siblings(self) -> int:
+        """Return how many targets the own target's service has."""
+        service = self.own_candidate.service
+        others = sum(
+            peer.candidate.service == service and peer.stream is not None
+            for peer in self.peers.values()
+        )
+        return 1 + others
+
     def members(self) -> int:
         live = sum(peer.stream is not None for peer in self.peers.values())
         return 1 + live
--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -18,6 +18,18 @@
     SHED = 'shed'
     POISON = 'poison'
     WITHDRAWN = 'withdrawn'
+    NO_RETRY_BUDGET = 'no-retry-budget'
+
+
+class Repeat(enum.IntEnum):
+    """Why a request comes to a target that came to another one before.
+
+    ``AGAIN``: that one turned it away, or its answer was lost.
+    """
+
+    NONE = 0
+    AGAIN = 1
+    AFTER_FAILURE = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +90,9 @@
     :param last: no other target will be asked if this one refuses.
     :param done: gets the outcome, exactly once.
     :param run_s: the time that its run was expected to take when it started.
+    :param repeat: why it comes once more; a guard counts these.
+    :param inherited: what a request that comes first counts for as a
+        repeat, 0 to 1; see ``decisions.budget``.
     :param may_move: whether another target would be asked if this one
         were given up now.
     """
@@ -100,8 +115,15 @@
     started: float = 0.0
     run_s: float = 0.0
     received: float = 0.0
+    repeat: Repeat = Repeat.NONE
+    inherited: float = 0.0
     may_move: Callable[[], bool] = _never
 
+    @property
+    def repeat_weight(self) -> float:
+        """What its run counts for as a repeat, 0 to 1."""
+        return 1.0 if self.repeat else self.inherited
+
     def settle(self, outcome: Outcome) -> None:
         """Hand over the outcome; a second one is dropped.
 
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 from peridotpost.decisions import attempts
-from peridotpost.decisions import budget as budget_rules
 from peridotpost.decisions import returning
 from peridotpost.decisions import selection
 from peridotpost.decisions import split
@@ -24,6 +23,8 @@
 from peridotpost.proxy import requestlog
 
 NO_CONFIG_RETURN_S = 0.5
+NO_BUDGET_S = 0.5
+"""How long no run is given up for a repeat after a guard had no budget."""
 POISON_RETURN_S = 30.0
 
 
@@ -39,8 +40,8 @@
     def withdraw(self, host: str, order: forwarding.Order) -> None:
         """Nobody waits for the order any more."""
 
-    def members(self) -> int:
-        """Return how many daemons are live, this one included."""
+    def repeat_share(self) -> float:
+        """Return the share of repeats among what the own target runs."""
 
 
 class Forwarder:
@@ -52,7 +53,6 @@
         caller_service: str,
         backends: Backends,
         selector: selection.Selector,
-        retry_budget: budget_rules.RetryBudget,
         sweep: deadlines.Deadlines,
         counts: counters.Counters,
         log: lines.LineLog,
@@ -60,7 +60,6 @@
         self.names = header_names
         self.backends = backends
         self.selector = selector
-        self.budget = retry_budget
         self.sweep = sweep
         self.counts = counts
         self.log = requestlog.RequestLog(log, lambda: self.config)
@@ -71,6 +70,7 @@
             header_names.caller + b': ' + caller_service.encode() + b'\r\n'
         )
         self.in_flight = 0
+        self.no_budget_at: dict[str, float] = {}
         self.observe: (
             Callable[[exchanges.Exchange, int, float], None] | None
         ) = None
@@ -207,6 +207,8 @@
                 exchange, candidate, order, outcome
             ),
             route=exchange.route.name,
+            repeat=exchange.attempts.repeat,
+            inherited=self.backends.repeat_share(),
             may_move=lambda: self._may_move(exchange),
         )
         return order
@@ -220,8 +222,8 @@
             one.ready and one.host not in exchange.tried
             for one in self.backends.candidates(exchange.service)
         )
-        members = self.backends.members()
-        return others and self.budget.has_room(exchange.service, members, now)
+        no_budget_at = self.no_budget_at.get(exchange.service, -NO_BUDGET_S)
+        return others and now - no_budget_at >= NO_BUDGET_S
 
     def _ended(
         self,
@@ -236,9 +238,7 @@
         exchange.order = None
         now = deadlines.now()
         self._note(exchange, candidate, outcome, now)
-        step = exchange.attempts.after(
-            outcome, now, lambda: self._may_spend(exchange, now)
-        )
+        step = exchange.attempts.after(outcome, now)
         if step is attempts.Step.AGAIN:
             self._dispatch(exchange)
         elif isinstance(outcome, forwarding.TargetAnswer):
@@ -256,13 +256,13 @@
         now: float,
     ) -> None:
         """Learn from an outcome what it says of the target."""
-        arrived = True
         if isinstance(outcome, forwarding.Refused):
-            arrived = outcome.arrived
-            if arrived:
+            if outcome.arrived:
                 # The guard keeps within the slots, so a target that turns
-                # requests away is ailing.
+                # requests away is failing.
                 candidate.note(True, now)
+            if outcome.reason is forwarding.Refusal.NO_RETRY_BUDGET:
+                self.no_budget_at[exchange.service] = now
             if outcome.retry_after_s:
                 exchange.retry_after_s = outcome.retry_after_s
         elif isinstance(outcome, forwarding.Lost):
@@ -271,21 +271,16 @@
         else:
             failed = outcome.status >= attempts.FAILED_STATUS
             candidate.note(failed, now)
-        if arrived and not exchange.attempts.arrivals:
-            self.budget.request(exchange.service, now)
-
-    def _may_spend(self, exchange: exchanges.Exchange, now: float) -> bool:
-        members = self.backends.members()
-        if self.budget.spend(exchange.service, members, now):
-            self.counts.add('requests.repeated')
-            return True
-        self.counts.add('requests.no-retry-budget')
-        return False
 
     def _answer(
         self, exchange: exchanges.Exchange, outcome: forwarding.TargetAnswer
     ) -> None:
         self._end(exchange)
+        self._deliver(exchange, outcome)
+
+    def _deliver(
+        self, exchange: exchanges.Exchange, outcome: forwarding.TargetAnswer
+    ) -> None:
         if outcome.status < attempts.FAILED_STATUS:
             self.recognition.was_answered(exchange.message)
         self.log.answered(exchange, outcome.status)
@@ -299,8 +294,10 @@
     def _give_up(
         self, exchange: exchanges.Exchange, reason: forwarding.Refusal
     ) -> None:
-        """Answer for a request that no target will answer."""
-        if exchange.attempts.lost:
+        """Answer for a request that no other target will answer."""
+        if exchange.attempts.failed is not None:
+            self._answer(exchange, exchange.attempts.failed)
+        elif exchange.attempts.lost:
             self._end(exchange)
             self.log.ended(exchange, 'unknown', '', exchange.attempts.lost)
             self._own_answer(
@@ -326,6 +323,9 @@
         dispatched = exchange.order is not None
         self._end(exchange)
         self._withdraw(exchange)
+        if exchange.attempts.failed is not None:
+            self._deliver(exchange, exchange.attempts.failed)
+            return
         detail = exchange.attempts.lost or 'no answer in time'
         self.log.ended(exchange, 'timeout', exchange.host, detail)
         if dispatched or exchange.attempts.lost:
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -18,7 +18,10 @@
 
 
 class Dispatch(msgspec.Struct, array_like=True, tag=1):
-    """A request for the receiver's target; see ``forwarding.Order``."""
+    """A request for the receiver's target; see ``forwarding.Order``.
+
+    :param inherited: in hundredths.
+    """
 
     number: int
     service: str
@@ -33,6 +36,8 @@
     rank: int
     left_ms: int
     objective_ms: int
+    repeat: int = 0
+    inherited: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=2):
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import random
 
+from peridotpost.decisions import budget
 from peridotpost.decisions import incarnations
 from peridotpost.decisions import logbudget
 from peridotpost.decisions import slots as slot_rules
@@ -31,7 +32,7 @@
 class Guard:
     """Slots, queue and connections of one target.
 
-    :param service: the service that the host's settings name.
+    :param siblings: tells how many targets the own service has.
     """
 
     def __init__(
@@ -39,11 +40,14 @@
         header_names: names.HeaderNames,
         randomness: random.Random,
         sweep: deadlines.Deadlines,
+        retry_budget: budget.RetryBudget,
         counts: counters.Counters,
         log: lines.LineLog,
     ) -> None:
         self.names = header_names
         self.sweep = sweep
+        self.budget = retry_budget
+        self.siblings: Callable[[], int] = lambda: 1
         self.counts = counts
         self.log = log
         self.instances = incarnations.InstanceLog()
@@ -127,6 +131,9 @@
             )
             return
         now = deadlines.now()
+        if not self._has_budget(order, now):
+            self._refuse_repeat(order)
+            return
         verdict = self.queue.arrive(order, now)
         if not verdict.started and not verdict.refused:
             self._expire_at(self.queue.hopeless_at(order), order)
@@ -247,14 +254,22 @@
     def _send(
         self, order: forwarding.Order, connection: upstream.TargetConnection
     ) -> None:
-        left_ms = int((order.deadline - deadlines.now()) * 1000)
-        if left_ms <= 0:
-            # The process stood still between the decision and here.
+        now = deadlines.now()
+        left_ms = int((order.deadline - now) * 1000)
+        if left_ms <= 0 or not self._has_budget(order, now):
+            # The process stood still since the decision, or other repeats
+            # went first while this one waited.
             self.idle.add(connection)
             self._forget(order)
-            self._apply(self.queue.release(order, deadlines.now()))
-            order.settle(forwarding.Refused(forwarding.Refusal.TOO_LATE))
+            self._apply(self.queue.release(order, now))
+            if left_ms > 0:
+                self._refuse_repeat(order)
+            else:
+                order.settle(forwarding.Refused(forwarding.Refusal.TOO_LATE))
             return
+        self.budget.sent(order.repeat, order.inherited, now)
+        if order.repeat:
+            self.counts.add('requests.repeated')
         self.running[order] = connection
         head = b'%s%s%s: %d\r\n' % (
             order.head,
@@ -269,6 +284,22 @@
         order.done = lambda outcome: self._ended(order, done, outcome)
         connection.send(order, payload)
 
+    def repeat_share(self) -> float:
+        """Return the share of repeats among the runs, 0 to 1."""
+        if not self.running:
+            return 0.0
+        weight = sum(order.repeat_weight for order in self.running)
+        return weight / len(self.running)
+
+    def _has_budget(self, order: forwarding.Order, now: float) -> bool:
+        if not order.repeat:
+            return True
+        return self.budget.admits(order.repeat, self.siblings(), now)
+
+    def _refuse_repeat(self, order: forwarding.Order) -> None:
+        self.counts.add('requests.no-retry-budget')
+        order.settle(forwarding.Refused(forwarding.Refusal.NO_RETRY_BUDGET))
+
     def _ended(
         self,
         order: forwarding.Order,
--- a/src/peridotpost/proxy/orders.py
+++ b/src/peridotpost/proxy/orders.py
@@ -27,6 +27,8 @@
         order.rank,
         int((order.deadline - now) * MS_IN_S),
         int((order.objective - now) * MS_IN_S),
+        int(order.repeat),
+        round(order.inherited * 100),
     )
 
 
@@ -51,6 +53,8 @@
         last=told.last,
         done=done,
         route=told.route,
+        repeat=forwarding.Repeat(told.repeat),
+        inherited=told.inherited / 100,
     )
 
 
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -10,6 +10,7 @@
 LOST = forwarding.Lost('reset')
 FULL = forwarding.Refused(forwarding.Refusal.FULL)
 SHED = forwarding.Refused(forwarding.Refusal.SHED, arrived=True)
+NO_BUDGET = forwarding.Refused(forwarding.Refusal.NO_RETRY_BUDGET)
 AGAIN = attempts.Step.AGAIN
 GIVE_UP = attempts.Step.GIVE_UP
 DONE = attempts.Step.ANSWER
@@ -34,6 +35,11 @@
             [SHED, LOST, LOST], GIVE_UP, GIVE_UP, id='by one, lost twice'
         ),
         pytest.param([LOST, SHED], AGAIN, AGAIN, id='lost, then by one'),
+        pytest.param([SHED, NO_BUDGET], AGAIN, AGAIN, id='no budget there'),
+        pytest.param(
+            [SHED, NO_BUDGET, NO_BUDGET], GIVE_UP, GIVE_UP, id='no budget'
+        ),
+        pytest.param([SHED, FULL, SHED], AGAIN, AGAIN, id='room at neither'),
     ],
 )
 def test_step_after(
@@ -43,40 +49,62 @@
 ) -> None:
     for idempotent, expected in ((True, read), (False, write)):
         one = attempts.Attempts(idempotent, 2, deadline=1.0)
-        steps = [one.after(it, 0.0, lambda: True) for it in outcomes]
+        steps = [one.after(it, 0.0) for it in outcomes]
         assert steps[-1] is expected
 
 
-@pytest.mark.parametrize(
-    ('now', 'budget'),
-    [
-        pytest.param(0.99, True, id='no time left'),
-        pytest.param(0.0, False, id='no budget left'),
-    ],
-)
-def test_no_repeat_without_time_or_budget(now: float, budget: bool) -> None:
+@pytest.mark.parametrize('outcome', [LOST, SHED], ids=['lost', 'refused'])
+def test_no_repeat_without_time(outcome: forwarding.Outcome) -> None:
     one = attempts.Attempts(True, 2, deadline=1.0)
-    assert one.after(LOST, now, lambda: budget) is GIVE_UP
+    assert one.after(outcome, 0.99) is GIVE_UP
 
 
 @pytest.mark.parametrize('idempotent', [True, False])
 def test_a_refusal_by_the_target_is_no_attempt(idempotent: bool) -> None:
-    """A target turns away half of its requests; calls have one attempt.
-
-    Each second call failed, and with it the request that it was made for,
-    though other targets had room and nothing had run.
-    """
+    """Each second call of a target that sheds half of its load failed."""
     one = attempts.Attempts(idempotent, 1, deadline=1.0)
-    assert one.after(SHED, 0.0, lambda: True) is AGAIN
-    assert one.after(ANSWER, 0.1, lambda: True) is DONE
-    without = attempts.Attempts(idempotent, 1, deadline=1.0)
-    assert without.after(SHED, 0.0, lambda: False) is GIVE_UP
+    assert one.after(SHED, 0.0) is AGAIN
+    assert one.after(ANSWER, 0.1) is DONE
 
 
 def test_a_refusal_after_a_loss_is_no_proof_of_not_run() -> None:
     one = attempts.Attempts(True, 2, deadline=1.0)
-    one.after(LOST, 0.0, lambda: True)
+    one.after(LOST, 0.0)
     for _ in range(attempts.MAX_REFUSALS):
-        step = one.after(FULL, 0.1, lambda: True)
+        step = one.after(FULL, 0.1)
     assert step is GIVE_UP
     assert one.lost == 'reset'
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'repeat'),
+    [
+        pytest.param([FULL, FULL], forwarding.Repeat.NONE, id='never there'),
+        pytest.param([SHED], forwarding.Repeat.AGAIN, id='turned away'),
+        pytest.param([LOST, FULL], forwarding.Repeat.AGAIN, id='lost'),
+        pytest.param(
+            [FAILED, SHED], forwarding.Repeat.AFTER_FAILURE, id='failed'
+        ),
+    ],
+)
+def test_what_arrived_before_is_a_repeat(
+    outcomes: list[forwarding.Outcome], repeat: forwarding.Repeat
+) -> None:
+    one = attempts.Attempts(True, 2, deadline=1.0)
+    for outcome in outcomes:
+        one.after(outcome, 0.0)
+    assert one.repeat is repeat
+
+
+@pytest.mark.parametrize(
+    'second', [FULL, NO_BUDGET, LOST], ids=['full', 'no budget', 'lost']
+)
+def test_a_failure_that_was_answered_is_kept(
+    second: forwarding.Outcome,
+) -> None:
+    """A read that ran and failed was said not to have run."""
+    one = attempts.Attempts(True, 2, deadline=1.0)
+    one.after(FAILED, 0.0)
+    while one.after(second, 0.0) is AGAIN:
+        pass
+    assert one.failed is FAILED
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -225,3 +225,21 @@
         assert alive
         answer = await hosts[0].ask('/read/ok')
         assert answer.status == 200
+
+
+async def test_a_failed_read_is_answered_when_no_guard_takes_its_repeat() -> (
+    None
+):
+    """The answer that was there is delivered, not a refusal of our own."""
+    async with proxies.pair() as (_mesh, first, second):
+        for host in (first, second):
+            host.proxy.guard.budget.extra = 0.0
+        answer = await first.ask('/read/failed')
+        assert answer.status == 500
+        assert answer.headers['x-response-signature']
+        assert len(first.worker.runs) + len(second.worker.runs) == 1
+        refused = [
+            host.proxy.counts.totals['requests.no-retry-budget']
+            for host in (first, second)
+        ]
+        assert sum(refused) == 1
