Guards tell which part of its runs a target fails; writes avoid such targets

Change: a guard keeps a moving average of failed runs and sends it with each answer, refusal and status; a quarter or more is told to all peers, once a second at most. What a failure costs a request that can't be repeated is three objectives instead of half a second. Only what a target fails above the lowest fifth of its service counts: what all fail is caused behind them.

Ruled out: the median of the service as the base (most targets fail here).

Tests: test_writes_avoid_targets_that_lose_answers, test_what_all_targets_fail_moves_ nothing, test_peers_that_sent_nothing_know_which_target_fails, test_requests_turned_away_unrun_are_no_failures.

--- a/src/peridotpost/decisions/attempts.py
+++ b/src/peridotpost/decisions/attempts.py
@@ -17,9 +17,6 @@
   brings no other one.
 - A target's own refusal is no run, so it uses up none of the route's
   attempts; it did arrive there, so the next try is a repeat.
-  With one attempt a route, an ailing target that turns away half of what
-  it gets failed every second call of other targets, and each of those
-  failed the request that it was made for.
 - A refusal after a lost answer does not make the whole "not run".
 - A run whose host has fallen silent is given up for another target only
   if that other run may follow.  A busy host is silent for half a second
--- a/src/peridotpost/decisions/selection.py
+++ b/src/peridotpost/decisions/selection.py
@@ -16,50 +16,66 @@
 - After a refusal, another zone is asked only where a slot is likely to be
   free: when all are full, each question would cost bytes and find nothing.
   The own zone is then asked once more, as the last resort.
-- A target that fails what it takes still gets one request in
-  ``TRIAL_EVERY`` first, as its recovery would else never be seen.
-
-Grounds: a crossed request costs bytes worth as much as it is itself where
-these are dear, so it has to turn a miss into a hit; runs spread by about
-their mean, so an expectation short of the objective is met by most; the
-rest is stated at each figure.
+- A target that fails more of what it takes than the others counts as slower
+  by the time that a failure costs the caller.  What all targets of a service
+  fail is caused behind them.
+- Such a target still gets one idempotent request in ``TRIAL_EVERY``
+  first, as its recovery would else never be seen.
+- A write whose answer is lost can't be sent again, so a failure costs it
+  several objectives and it avoids targets that reads still use.
 """
 
 from collections.abc import Collection
 from collections.abc import Iterable
+import functools
 import random
 
 from peridotpost.decisions import targetstate
 
 OWN_ZONE_SHARE = 0.9
 WORTH_CROSSING = 0.35
-"""At 0.7 a surge sent over half as many kilobytes more to other zones, and
-callers were served no better: credit .936 against .941 in one fleet, .950
-against .952 in another (model of an experiment, two seeds each)."""
 FULL = 0.9
-"""Load above which a target of another zone is not asked after a refusal.
-At 1.0 a surge sent 24% more kilobytes to other zones, and callers were
-served the same: credit .945 and .945 (model of an experiment, four seeds)."""
+"""Load above which a target of another zone is not asked after a refusal."""
 MOST_COMPARED = 8
 DRAW_POWER = 3
 """A target that takes twice as long gets an eighth of the requests."""
 TRIAL_EVERY = 50
+FAILURE_COST_S = 0.5
+"""What a failed answer of an idempotent request costs its caller."""
+WRITE_FAILURE_OBJECTIVES = 3.0
+"""What a failure costs a request that can't be repeated, in objectives."""
 
 
 class View:
     """The targets of a service as they stand for one choice."""
 
     def __init__(
-        self, known: Iterable[targetstate.Candidate], route: str, now: float
+        self,
+        known: Iterable[targetstate.Candidate],
+        route: str,
+        now: float,
+        failure_cost_s: float = FAILURE_COST_S,
     ) -> None:
         self.ready = [one for one in known if one.ready]
         self.route = route
         self.now = now
+        self.failure_cost_s = failure_cost_s
         self.usual_s = targetstate.usual_run_s(self.ready, route)
 
     def expected_s(self, one: targetstate.Candidate) -> float:
         """Return the time until a target would have answered."""
-        return one.expected_s(self.route, self.usual_s, self.now)
+        expected_s = one.expected_s(self.route, self.usual_s, self.now)
+        failing = one.failure_share(self.now)
+        if failing:
+            excess = max(0.0, failing - self.usual_failure_share)
+            expected_s += self.failure_cost_s * excess
+        return expected_s
+
+    @functools.cached_property
+    def usual_failure_share(self) -> float:
+        """What nearly all targets fail; their lowest fifth ends there."""
+        shares = sorted(one.failure_share(self.now) for one in self.ready)
+        return shares[len(shares) // 5]
 
 
 class Selector:
@@ -80,16 +96,19 @@
         tried: Collection[str],
         objective_left_s: float,
         now: float,
+        idempotent: bool = True,
     ) -> targetstate.Candidate | None:
         """Return the best candidate not tried yet, None without one."""
-        view = View(known, route, now)
+        view = View(
+            known, route, now, _failure_cost_s(idempotent, objective_left_s)
+        )
         usable = [one for one in view.ready if one.host not in tried]
         if tried:
             usable = [one for one in usable if self._is_hopeful(one, now)]
         if len(usable) < 2:
             return usable[0] if usable else None
         self.choices += 1
-        if self.choices % TRIAL_EVERY == 0:
+        if idempotent and self.choices % TRIAL_EVERY == 0:
             shunned = [one for one in usable if one.failure_share(now) > 0.1]
             if shunned:
                 return self.randomness.choice(shunned)
@@ -150,3 +169,9 @@
         weights = [one**-DRAW_POWER for one in times]
         index = self.randomness.choices(range(len(among)), weights)[0]
         return among[index], times[index]
+
+
+def _failure_cost_s(idempotent: bool, objective_left_s: float) -> float:
+    if idempotent:
+        return FAILURE_COST_S
+    return max(FAILURE_COST_S, WRITE_FAILURE_OBJECTIVES * objective_left_s)
--- a/src/peridotpost/decisions/targetstate.py
+++ b/src/peridotpost/decisions/targetstate.py
@@ -7,29 +7,21 @@
 
 - Load and run times are the guard's own word, which comes with each answer
   and refusal, or the own count of requests under way, whichever is more.
-- A target that fails what it takes counts as slower by the time that a
-  failure costs the caller.
-
-Grounds: a report is old after a few runs, hence its half-life; with 1 s,
-other zones were taken for full and served less (credit .955 for .956 and
-.944 for .951, model of an experiment, three seeds each).  The rest is stated
-at each figure.
+- Its guard sees all outcomes and reports the share of failures; an ingress
+  adds the streams that it lost itself.
 """
 
 from collections.abc import Iterable
 import dataclasses
 
+from peridotpost.decisions import failures
+
 REPORT_HALF_LIFE_S = 0.5
 FIRST_RUN_S = 0.06
 RUN_WEIGHT = 1 / 32
 """The mean is over routes, whose runs differ by a factor of five."""
-FAILURE_WEIGHT = 1 / 8
-FAILURE_COST_S = 0.5
-"""What a failed answer costs the caller, in time: a whole objective and
-more, since it can't be had again for a non-idempotent request."""
-FAILURE_HALF_LIFE_S = 3.0
 QUEUE_ONSET = 0.7
-"""Load from which waits appear, as arrivals are uneven."""
+"""Load from which requests wait, as arrivals are uneven."""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -53,8 +45,12 @@
     run_s: float = FIRST_RUN_S
     outstanding: int = 0
     run_by_route: dict[str, float] = dataclasses.field(default_factory=dict)
-    failing: float = 0.0
-    failing_at: float = 0.0
+    seen_failures: failures.FailureShare = dataclasses.field(
+        default_factory=failures.FailureShare
+    )
+    told_failures: failures.FailureShare = dataclasses.field(
+        default_factory=failures.FailureShare
+    )
 
     def stands(
         self, service: str, instance: str, slots: int, ready: bool
@@ -79,21 +75,23 @@
 
     def replaced(self) -> None:
         """Forget what was learned of the incarnation before."""
-        self.failing = 0.0
+        self.seen_failures.report(0.0, 0.0)
+        self.told_failures.report(0.0, 0.0)
         self.run_s = FIRST_RUN_S
         self.run_by_route.clear()
 
     def note(self, failed: bool, now: float) -> None:
         """Take the outcome of a request that the target ran."""
-        faded = self.failure_share(now)
-        self.failing = faded + FAILURE_WEIGHT * (float(failed) - faded)
-        self.failing_at = now
+        self.seen_failures.note(failed, now)
+
+    def report_failures(self, share: float, now: float) -> None:
+        """Take the guard's word on the share of failures."""
+        self.told_failures.report(share, now)
 
     def failure_share(self, now: float) -> float:
-        if self.failing < 0.01:
-            return 0.0
-        age = max(0.0, now - self.failing_at)
-        return float(self.failing * 0.5 ** (age / FAILURE_HALF_LIFE_S))
+        return max(
+            self.seen_failures.value(now), self.told_failures.value(now)
+        )
 
     def load_now(self, now: float) -> float:
         """Return what is likely to run and wait there, per slot."""
@@ -111,7 +109,7 @@
         wait_s = 0.0
         if load > QUEUE_ONSET:
             wait_s = (load - QUEUE_ONSET) * self.run_s
-        return run_s + wait_s + FAILURE_COST_S * self.failure_share(now)
+        return run_s + wait_s
 
 
 def usual_run_s(usable: Iterable[Candidate], route: str) -> float:
--- a/src/peridotpost/experiment/ingress.py
+++ b/src/peridotpost/experiment/ingress.py
@@ -119,9 +119,15 @@
         found = None
         if not asking.attempts.is_last:
             found = host.selector.choose(
-                candidates, route.name, asking.tried, left_s, now
+                candidates,
+                route.name,
+                asking.tried,
+                left_s,
+                now,
+                route.idempotent,
             )
-        if found is None and not asking.last_asked:
+        repeat_refused = asking.attempts.budget_refusals > 0
+        if found is None and not asking.last_asked and not repeat_refused:
             asking.last_asked = True
             found = host.selector.last_resort(candidates, route.name, now)
         return found
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Iterable
 import dataclasses
+import functools
 import random
 from typing import TypeGuard
 
@@ -94,7 +95,9 @@
         own = self.own_candidate
         if own.service == service:
             queue = self.guard.queue
-            own.report(queue.load, deadlines.now())
+            now = deadlines.now()
+            own.report(queue.load, now)
+            own.report_failures(self.guard.failures.value(now), now)
             own.run_s = queue.times.mean_s
             own.run_by_route = queue.times.mean_by_route
             yield own
@@ -340,7 +343,7 @@
             peer.dialling = None
         stream.host = record.host
         candidate = peer.candidate
-        stream.on_load = lambda load: candidate.report(load, deadlines.now())
+        stream.on_load = functools.partial(_report, candidate)
         stream.on_run = candidate.report_run
         peer.stream = stream
         peer.pause_s = FIRST_PAUSE_S
@@ -348,7 +351,8 @@
 
     def _status(self) -> frames.Status:
         load = int(self.guard.queue.load * 100)
-        return orders.status_of(self.guard.status(), load)
+        failing = int(self.guard.failures.value(deadlines.now()) * 100)
+        return orders.status_of(self.guard.status(), load, failing)
 
     def _own_target_changed(self, status: instances.TargetStatus) -> None:
         self.own_candidate.stands(
@@ -365,7 +369,7 @@
         peer.candidate.stands(
             told.service, told.instance, told.slots, told.ready
         )
-        peer.candidate.report(told.load / 100, deadlines.now())
+        _report(peer.candidate, told.load / 100, told.failing / 100)
 
     def _known(self, stream: peers.PeerStream, told: frames.Known) -> None:
         if not told.hosts:
@@ -384,6 +388,15 @@
         older.close()
 
 
+def _report(
+    candidate: targetstate.Candidate, load: float, failing: float
+) -> None:
+    """Take a guard's word on its target."""
+    now = deadlines.now()
+    candidate.report(load, now)
+    candidate.report_failures(failing, now)
+
+
 def _is_of_before(
     stream: peers.PeerStream | None, record: instances.HostRecord
 ) -> TypeGuard[peers.PeerStream]:
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -179,9 +179,15 @@
         found = None
         if not exchange.attempts.is_last:
             found = self.selector.choose(
-                candidates, route, exchange.tried, left_s, now
+                candidates,
+                route,
+                exchange.tried,
+                left_s,
+                now,
+                exchange.route.idempotent,
             )
-        if found is None and not exchange.last_asked:
+        repeat_refused = exchange.attempts.budget_refusals > 0
+        if found is None and not exchange.last_asked and not repeat_refused:
             exchange.last_asked = True
             found = self.selector.last_resort(candidates, route, now)
         return found
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -51,6 +51,7 @@
 
     :param load: what runs and waits, in hundredths of the slots.
     :param run_ms: mean time of a run there.
+    :param failing: share of failures there, in hundredths.
     """
 
     number: int
@@ -60,6 +61,7 @@
     body: bytes
     load: int
     run_ms: int
+    failing: int = 0
 
 
 class RefusedFrame(msgspec.Struct, array_like=True, tag=4):
@@ -71,6 +73,7 @@
     arrived: bool
     load: int
     run_ms: int
+    failing: int = 0
 
 
 class LostFrame(msgspec.Struct, array_like=True, tag=5):
@@ -89,6 +92,7 @@
     slots: int
     ready: bool
     load: int
+    failing: int = 0
 
 
 class Hello(msgspec.Struct, array_like=True, tag=7):
@@ -164,6 +168,7 @@
 
     load: int
     version: int
+    failing: int = 0
 
 
 class Known(msgspec.Struct, array_like=True, tag=14):
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -9,7 +9,9 @@
 from collections.abc import Callable
 import random
 
+from peridotpost.decisions import attempts
 from peridotpost.decisions import budget
+from peridotpost.decisions import failures
 from peridotpost.decisions import incarnations
 from peridotpost.decisions import logbudget
 from peridotpost.decisions import slots as slot_rules
@@ -24,6 +26,10 @@
 from peridotpost.proxy import reachability
 from peridotpost.proxy import upstream
 
+FAILING_SHARE = 0.25
+FAILING_TOLD_S = 1.0
+"""A target that fails this share of its requests is reported to all peers,
+at most so often; other figures go with the answers."""
 DEADLINE_SLACK_S = 0.1
 """How long after the deadline the guard cuts a run: its ingress does so at
 the deadline, the guard only where the ingress is gone."""
@@ -57,6 +63,8 @@
         self.opening: dict[forwarding.Order, asyncio.Task[None]] = {}
         self.expiries: dict[forwarding.Order, int] = {}
         self.reach = reachability.Reachability(self, log)
+        self.failures = failures.FailureShare()
+        self.failing_told_at = 0.0
         self.leaving = False
         self.changed: hooks.Hook[instances.TargetStatus] = hooks.Hook('target')
         self.instance_header = b''
@@ -87,6 +95,7 @@
         )
         if fresh:
             self.idle.close()
+            self.failures = failures.FailureShare()
             self.reach.replaced()
             self.instance_header = (
                 self.names.instance + b': ' + told.instance.encode() + b'\r\n'
@@ -318,9 +327,25 @@
             verdict = self.queue.release(order, now)
         if isinstance(outcome, forwarding.Lost):
             self.reach.answer_lost(order)
+        if connection is None or not connection.abandoned:
+            self._note_outcome(outcome, now)
         done(outcome)
         self._apply(verdict)
 
+    def _note_outcome(self, outcome: forwarding.Outcome, now: float) -> None:
+        if isinstance(outcome, forwarding.Refused):
+            # Not run, so another target can still have it.
+            return
+        failed = not isinstance(outcome, forwarding.TargetAnswer) or (
+            outcome.status >= attempts.FAILED_STATUS
+        )
+        self.failures.note(failed, now)
+        if not failed or self.failures.value(now) < FAILING_SHARE:
+            return
+        if now - self.failing_told_at >= FAILING_TOLD_S:
+            self.failing_told_at = now
+            self.changed.fire(self.status())
+
     def _connection_left(
         self, connection: upstream.TargetConnection, in_use: bool
     ) -> None:
@@ -384,6 +409,7 @@
         started = order in self.running
         self._abort(order)
         if started:
+            self.failures.note(True, deadlines.now())
             order.settle(forwarding.Lost('no answer by the deadline'))
         else:
             order.settle(forwarding.Refused(forwarding.Refusal.TOO_LATE))
--- a/src/peridotpost/proxy/orders.py
+++ b/src/peridotpost/proxy/orders.py
@@ -59,12 +59,17 @@
 
 
 def reply_of(
-    number: int, outcome: forwarding.Outcome, load: int, run_s: float
+    number: int,
+    outcome: forwarding.Outcome,
+    load: int,
+    run_s: float,
+    failing: int,
 ) -> frames.Frame:
     """Return the frame that tells an outcome.
 
     :param load: of the guard, in hundredths of its slots.
     :param run_s: mean time of a run of the route there.
+    :param failing: share of failures there, in hundredths.
     """
     run_ms = int(run_s * MS_IN_S)
     if isinstance(outcome, forwarding.TargetAnswer):
@@ -76,6 +81,7 @@
             outcome.body,
             load,
             run_ms,
+            failing,
         )
     if isinstance(outcome, forwarding.Refused):
         return frames.RefusedFrame(
@@ -85,6 +91,7 @@
             outcome.arrived,
             load,
             run_ms,
+            failing,
         )
     return frames.LostFrame(number, outcome.detail, outcome.crashed)
 
@@ -105,7 +112,9 @@
     )
 
 
-def status_of(status: instances.TargetStatus, load: int) -> frames.Status:
+def status_of(
+    status: instances.TargetStatus, load: int, failing: int
+) -> frames.Status:
     """Return the frame that tells how a target stands."""
     return frames.Status(
         status.service,
@@ -113,4 +122,5 @@
         status.slots,
         status.ready,
         load,
+        failing,
     )
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -30,10 +30,9 @@
 IDLE_PING_S = 2.0
 """Pause between pings on a stream that carries nothing."""
 FAR_IDLE_PING_S = 20.0
-"""The same to another zone, where each packet is paid for.  At 5 s,
-pings of idle streams were over a third of what a calm fleet of 60 paid for
-between zones; a stream that died unnoticed is found out by the first
-request on it, within ``SILENCE_S`` and ``SUSPECT_S``."""
+"""The same to another zone, where bytes are dear; a stream that died
+unnoticed is found out by the first request on it, within ``SILENCE_S`` and
+``SUSPECT_S``."""
 SWEEP_S = 0.1
 MAX_BUFFERED = 32 * 1024 * 1024
 """Bytes that a peer that does not read may hold of our memory."""
@@ -96,7 +95,7 @@
         self.received_at = deadlines.now()
         self.owed_since = 0.0
         self.pinged_at = 0.0
-        self.on_load: Callable[[float], None] | None = None
+        self.on_load: Callable[[float, float], None] | None = None
         self.on_run: Callable[[str, float], None] | None = None
         self.asked = False
 
@@ -202,11 +201,13 @@
                 self.guard.cancel(order)
         elif kind is frames.Ping:
             told = cast(frames.Ping, frame).version
-            self.send(frames.Pong(self._load(), self.owner.version))
+            self.send(
+                frames.Pong(self._load(), self.owner.version, self._failing())
+            )
             self.owner.notice(self, frames.Version(told))
         elif kind is frames.Pong:
             pong = cast(frames.Pong, frame)
-            self._note_load(pong.load)
+            self._note_load(pong.load, pong.failing)
             self.owner.notice(self, frames.Version(pong.version))
         elif kind is frames.Hello:
             self._met(cast(frames.Hello, frame))
@@ -239,22 +240,33 @@
         self, told: frames.Dispatch, outcome: forwarding.Outcome
     ) -> None:
         run_s = self.guard.queue.times.expected_s(told.route)
-        self.send(orders.reply_of(told.number, outcome, self._load(), run_s))
+        self.send(
+            orders.reply_of(
+                told.number, outcome, self._load(), run_s, self._failing()
+            )
+        )
 
     def _load(self) -> int:
         return int(self.guard.queue.load * 100)
 
+    def _failing(self) -> int:
+        return int(self.guard.failures.value(deadlines.now()) * 100)
+
     def _answered(self, told: frames.Answered) -> None:
-        self._note_load(told.load, told.number, told.run_ms)
+        self._note_load(told.load, told.failing)
+        self._note_run(told.number, told.run_ms)
         self._settle(told.number, orders.answer_of(told))
 
     def _refused(self, told: frames.RefusedFrame) -> None:
-        self._note_load(told.load, told.number, told.run_ms)
+        self._note_load(told.load, told.failing)
+        self._note_run(told.number, told.run_ms)
         self._settle(told.number, orders.refusal_of(told))
 
-    def _note_load(self, load: int, number: int = 0, run_ms: int = 0) -> None:
+    def _note_load(self, load: int, failing: int) -> None:
         if self.on_load is not None:
-            self.on_load(load / 100)
+            self.on_load(load / 100, failing / 100)
+
+    def _note_run(self, number: int, run_ms: int) -> None:
         order = self.sent.get(number)
         if run_ms and order is not None and self.on_run is not None:
             self.on_run(order.route, run_ms / 1000)
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -54,6 +54,7 @@
         self.reading: http1.Message | None = None
         self.reusable = True
         self.closed = False
+        self.abandoned = False
         self.idle_since = 0.0
         self.idle_s = DEFAULT_IDLE_S
         self.stray = 0
@@ -143,6 +144,7 @@
 
     def abandon(self) -> None:
         """Close at once; the target may drop what it runs."""
+        self.abandoned = True
         self.order = None
         self.close()
 
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from peridotpost.proxy import guard
 from peridotpost.proxy import peers
 from testing import conditions
 from testing import proxies
@@ -247,6 +248,24 @@
         assert sum(refused) == 1
 
 
+async def test_peers_that_sent_nothing_know_which_target_fails() -> None:
+    """Each ingress had to lose some writes of its own to learn of it."""
+    async with proxies.pair() as (mesh, first, _second):
+        observer = await mesh.add('c', service='vault')
+        await mesh.ready()
+        for number in range(8):
+            await first.ask(
+                '/write/reset', method='POST', attempt=f'w{number}'
+            )
+        directory = observer.proxy.directory
+        await conditions.until(
+            lambda: any(
+                one.told_failures.share >= guard.FAILING_SHARE
+                for one in directory.candidates('register')
+            )
+        )
+
+
 async def test_a_second_stream_of_a_peer_does_not_cut_the_first_one() -> None:
     """A peer dialled a dead host's address that this host had taken over."""
     async with proxies.pair() as (_mesh, first, second):
@@ -281,3 +300,11 @@
             assert directory.peers['gone'].dialling is None
             assert 'gone' not in [one.host for one in directory.hosts()]
             assert host.proxy.counts.totals['peers.dialled'] == dialled
+
+
+async def test_requests_turned_away_unrun_are_no_failures() -> None:
+    async with proxies.pair() as (_mesh, first, second):
+        for number in range(8):
+            await first.ask('/write/shed', method='POST', attempt=f'w{number}')
+        for host in (first, second):
+            assert host.proxy.guard.failures.share == 0.0
--- a/testing/test_selection.py
+++ b/testing/test_selection.py
@@ -70,6 +70,37 @@
     assert 0 < found['a'] < 100
 
 
+def test_writes_avoid_targets_that_lose_answers(
+    randomness: random.Random,
+) -> None:
+    """Most targets lose two answers in five; a lost write stays lost."""
+    known = [target(f'lossy-{number}') for number in range(6)]
+    for one in known:
+        one.report_failures(0.4, 0.0)
+    known += [target(f'sound-{number}') for number in range(4)]
+    selector = selection.Selector('own', randomness)
+    for idempotent, least, most in ((False, 0.97, 1.0), (True, 0.4, 0.97)):
+        chosen = [
+            selector.choose(known, 'r', (), 1.5, 0.0, idempotent)
+            for _ in range(1000)
+        ]
+        sound = sum(
+            one is not None and one.host.startswith('sound') for one in chosen
+        )
+        assert least <= sound / 1000 <= most
+
+
+def test_what_all_targets_fail_moves_nothing(
+    randomness: random.Random,
+) -> None:
+    """All calls of a service fail, and with them the runs of all targets."""
+    known = [target(f't{number}', load=0.5) for number in range(10)]
+    for one in known:
+        one.report_failures(0.5, 0.0)
+    found = shares(known, randomness)
+    assert min(found.values()) > 100
+
+
 def test_a_target_that_recovered_is_used_again(
     randomness: random.Random,
 ) -> None:
