--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -1,9 +1,8 @@
 """Whether a daemon reads the configuration from the store itself.
 
 Load pattern: versions come several a second while a fleet's links differ
-by a factor of fifty.  A watch brings each version whole; 1,600 routes take
-half a second on a link of 5 Mbit/s, every request waits behind them, and
-streams are taken for dead.
+by a factor of fifty.  A watch brings each version whole, and on a slow link
+every request waits behind it.
 
 A daemon with a slow link leaves the reading to those of its zone that have
 a fast one, and gets differences from them.  When none of those has been
@@ -12,37 +11,26 @@
 from the store, is as current as its own reads are.
 
 One that follows the store and loses it says so at once, and is not waited
-for.  It says that it follows until its own calls time out, a second and
-more after the store fell silent; with two beats of silence on top, hosts
-with slow links had a version 3.3 s after the operators' write, while the
-store answered them all the time.
+for.
 
-Of a zone's slow ones one reads at a time, in their turn by chance: it says so
-before it begins, and the others leave it to that one for ``READ_FOR_S``.  When
-the fast ones of a fleet lost their watches in the same moment, 55 others read
-the whole text at once, and for 0.7 s three in four requests stood still.
+Of a zone's slow ones one reads at a time, in random order: it says so before
+it begins, and the others leave it to that one for ``READ_FOR_S``.
 
 While the store is out nobody follows it, so nobody is heard of.  When it
 comes back, the fast ones are heard of within a beat, and a daemon with a
-slow link waits for that: reading at once, all of them would fill their
-links for a second with what a difference of some hundred bytes brings.
-
-Grounds: followers are heard of every ``BEAT_S``, so two beats may be lost;
-two seconds of silence and a read still are within the time in which a
-daemon that lost its peers has to be current again.
+slow link waits for that.
 """
 
 import dataclasses
 
 SLOW_LINK_MBPS = 20.0
-"""A text of 400 KB takes 0.16 s there, less than between two versions."""
 HEARD_S = 2.0
+"""More than two beats, so that two may be lost."""
 BEAT_S = 0.8
 READ_EVERY_S = 2.0
 READ_FOR_S = 0.9
-"""A beat in which each of the others looks whether it is to read, and some.  A
-version is known to its zone after that and one read, 0.9 s on a link of 3.5
-Mbit/s; longer, and it would be in force later than operators count on."""
+"""More than a beat, in which each of the others looks whether it is to
+read."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -24,21 +24,16 @@
 
 RETRY_S = 0.25
 MAX_RETRY_S = 0.8
-"""Pauses while the store is out.  Records that lapsed meanwhile have to be
-back within two seconds of its return, so the longest is under half that;
-at 5,200 daemons it is 6,500 refused calls a second for the store."""
+"""Pauses between retries; records that lapsed in an outage have to be back
+within two seconds of the store's return."""
 MAX_SLOW_RETRY_S = 3.2
 """The same for a host with a slow link: those of its zone that follow the
 store tell it when the store is back."""
 OUT_S = 2.5
-"""How long the reads wait for the record's call to come through; it is the
-one that tries all the time while the store is out.  Bounds the damage if
-that call alone is refused."""
+"""How long the reads wait for the renewals to come through; bounds the
+damage if these alone are refused."""
 GATHER_S = 0.4
-"""Pause after changes came, in which more gather for the next watch.  The
-store is asked at most so often by each daemon while versions come several
-a second or a whole fleet registers, and a version still is in force well
-within the two seconds that operators count on."""
+"""Pause after a change, in which more gather for the next watch."""
 POLL_S = 2.5
 MAX_POLL_S = 10.0
 """Pauses between stale reads of the records; they double while nothing
@@ -191,9 +186,7 @@
     async def _pause(self, pause_s: float) -> None:
         """Rest after a read that failed.
 
-        While the store is out one call a daemon finds out when it is back.
-        With three loops that try, by their pauses, a fleet of 60 sends it
-        some 200 calls a second, each refused and paid for.
+        While the store is out, only the renewals find out when it is back.
         """
         if not self.calls_fail:
             await asyncio.sleep(pause_s * self._spread())
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -1,8 +1,8 @@
 """The configuration in force here: from the store, or from a peer.
 
-Each daemon watches the store.  One that can't reach it, or whose watch
-has gone silent, hears of a higher version from its peers and, if the
-store did not bring it by then, fetches it from the one that told.
+Daemons with fast links watch the store.  One that does not, can't reach it,
+or whose watch has gone silent hears of a higher version from its peers and,
+if the store did not bring it by then, fetches it from the one that told.
 """
 
 import asyncio
@@ -21,19 +21,17 @@
 from peridotpost.proxy import peers
 
 FETCH_AFTER_S = 0.3
-"""How long a version that a peer told of may take to come from the store,
-whose answers take some milliseconds; less would fetch each one twice."""
+"""How long a version that a peer told of may take to come from the store;
+less would fetch each one twice."""
 FETCH_FAR_AFTER_S = 0.7
-"""The same where the peer is in another zone: the own zone is asked first,
-and a version still is in force well within two seconds."""
+"""The same where the peer is in another zone: the own zone is asked first."""
 FIRST_FAR_S = 0.1
-"""How long a daemon without a configuration waits for one of its own zone:
-some turns of a stream within it."""
+"""How long a daemon without a configuration waits for its own zone."""
 FIRST_AGAIN_S = 0.5
-"""When such a daemon asks another peer.  Each of 60 peers has told it of a
-version by then; 30 KB from all of them fill a link of 5 Mbit/s for 3 s."""
+"""When such a daemon asks another peer; one at a time, as each would send
+the whole configuration."""
 RECENT = 8
-"""Texts kept as bases of differences; two seconds of a fast series."""
+"""Texts kept as bases of differences."""
 COMPRESSION_LEVEL = 3
 
 Decode = Callable[[bytes], mesh.MeshConfig]
@@ -176,16 +174,13 @@
     def _heard_of_first(self, stream: peers.PeerStream, version: int) -> None:
         """Ask for a first configuration: the own zone at once, others soon.
 
-        A zone that had lost its hosts with fast links started again after a
-        loss of power.  Its other hosts waited two seconds for one that
-        follows the store, then for the text on their links, and refused 600
-        requests meanwhile, while each peer in other zones could have helped.
+        A zone may have no host that follows the store.
         """
         if not version:
             return
-        far = self.directory.is_far(stream.zone)
+        pause_s = FIRST_FAR_S if self.directory.is_far(stream.zone) else 0.0
         loop = asyncio.get_running_loop()
-        loop.call_later(FIRST_FAR_S * far, self._fetch_first, stream)
+        loop.call_later(pause_s, self._fetch_first, stream)
 
     def _fetch_first(self, stream: peers.PeerStream) -> None:
         """Ask one peer at a time while there is no configuration."""
@@ -207,9 +202,7 @@
     def _frame_for(self, version: int) -> frames.Config | frames.ConfigDelta:
         """Return what brings a peer from `version` to the own one.
 
-        A fast host serves some ten others of its zone, most of them with
-        one base; made for each of them, a difference to a text of a
-        thousand routes cost 5 ms of its processor each time.
+        Frames are kept by base, as most peers of a zone have the same one.
         """
         base = self.recent.get(version)
         known = version if base is not None else 0
