--- a/src/peridotpost/decisions/attempts.py
+++ b/src/peridotpost/decisions/attempts.py
@@ -104,16 +104,17 @@
         if self.refusals >= MAX_REFUSALS:
             return Step.GIVE_UP
         if outcome.arrived:
-            return self._arrived(now)
+            return self._repeat_step(now)
         return Step.AGAIN
 
     def _repeat_or(self, otherwise: Step, now: float) -> Step:
         """Return `otherwise` unless another run may follow."""
-        if self.idempotent and self._arrived(now) is Step.AGAIN:
+        if self.idempotent and self._repeat_step(now) is Step.AGAIN:
             return Step.AGAIN
         return otherwise
 
-    def _arrived(self, now: float) -> Step:
+    def _repeat_step(self, now: float) -> Step:
+        """Return what follows a dispatch that arrived at a target."""
         if self.repeat is forwarding.Repeat.NONE:
             self.repeat = forwarding.Repeat.AGAIN
         if self.runs >= self.max_attempts:
