--- a/src/peridotpost/border/proxy.py
+++ b/src/peridotpost/border/proxy.py
@@ -54,6 +54,16 @@
     window_s: Positive = 10.0
 
 
+class Releases(_Checked, frozen=True):
+    """Bounds on releases of a version.
+
+    :param exposure: most of a service's requests that a bad version may
+        get, from the order to its deadline.
+    """
+
+    exposure: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.1
+
+
 class Shutdown(_Checked, frozen=True):
     """How a stop goes, in seconds after it was asked for.
 
@@ -84,6 +94,7 @@
     store: Name
     link_mbps: Positive = 1000.0
     retries: Retries = Retries()
+    releases: Releases = Releases()
     shutdown: Shutdown = Shutdown()
 
 
--- a/src/peridotpost/decisions/attempts.py
+++ b/src/peridotpost/decisions/attempts.py
@@ -97,6 +97,8 @@
     def _after_refusal(self, outcome: forwarding.Refused, now: float) -> Step:
         self.refusals += 1
         self.arrivals += outcome.arrived
+        if outcome.reason is forwarding.Refusal.TOO_LATE:
+            return Step.GIVE_UP
         if outcome.reason is forwarding.Refusal.NO_RETRY_BUDGET:
             self.budget_refusals += 1
             if self.budget_refusals >= MAX_BUDGET_REFUSALS:
--- a/src/peridotpost/decisions/incarnations.py
+++ b/src/peridotpost/decisions/incarnations.py
@@ -72,5 +72,6 @@
         or told.service != known.service
         or told.state is not known.state
         or told.slots != known.slots
+        or told.version != known.version
         or (told.address, told.port) != (known.address, known.port)
     )
--- a/src/peridotpost/decisions/targetstate.py
+++ b/src/peridotpost/decisions/targetstate.py
@@ -32,6 +32,7 @@
     :param run_s: mean time of a run there; `run_by_route` by route, since
         a service may answer one route in a fifth of another's time.
     :param outstanding: requests of this ingress that are under way there.
+    :param version: of the target's software.
     """
 
     host: str
@@ -40,6 +41,7 @@
     instance: str = ''
     slots: int = 1
     ready: bool = False
+    version: str = ''
     load: float = 0.0
     load_at: float = 0.0
     run_s: float = FIRST_RUN_S
@@ -53,7 +55,12 @@
     )
 
     def stands(
-        self, service: str, instance: str, slots: int, ready: bool
+        self,
+        service: str,
+        instance: str,
+        slots: int,
+        ready: bool,
+        version: str = '',
     ) -> None:
         """Take the guard's word on its target."""
         if instance != self.instance:
@@ -62,6 +69,7 @@
         self.instance = instance
         self.slots = slots
         self.ready = ready
+        self.version = version
 
     def report(self, load: float, now: float) -> None:
         """Take the guard's word on its load."""
--- a/src/peridotpost/kernel/hooks.py
+++ b/src/peridotpost/kernel/hooks.py
@@ -17,6 +17,9 @@
     def subscribe(self, subscriber: Callable[[EventT], None]) -> None:
         self.subscribers.append(subscriber)
 
+    def unsubscribe(self, subscriber: Callable[[EventT], None]) -> None:
+        self.subscribers.remove(subscriber)
+
     def fire(self, event: EventT) -> None:
         """Call the subscribers in the order in which they subscribed."""
         for subscriber in tuple(self.subscribers):
--- a/src/peridotpost/mesh/countedfeed.py
+++ b/src/peridotpost/mesh/countedfeed.py
@@ -9,6 +9,7 @@
 from peridotpost.kernel import counters
 from peridotpost.mesh import storefeed
 from peridotpost.model import instances
+from peridotpost.model import release
 
 PREFIX = 'store.calls.'
 
@@ -52,5 +53,19 @@
         self._count('end-lease')
         await self.feed.end(lease)
 
+    async def claim(self, service: str, host: str, lease: int) -> int | None:
+        self._count('claim')
+        return await self.feed.claim(service, host, lease)
+
+    async def read_status(self, service: str) -> release.ReleaseStatus:
+        self._count('read-status')
+        return await self.feed.read_status(service)
+
+    async def write_status(
+        self, order: release.ReleaseOrder, epoch: int, stage: release.Stage
+    ) -> bool:
+        self._count('write-status')
+        return await self.feed.write_status(order, epoch, stage)
+
     def _count(self, kind: str) -> None:
         self.counts.add(PREFIX + kind)
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -11,6 +11,7 @@
 from peridotpost.decisions import asking
 from peridotpost.decisions import budget
 from peridotpost.decisions import following
+from peridotpost.decisions import releasesplit
 from peridotpost.decisions import selection
 from peridotpost.kernel import counters
 from peridotpost.kernel import lines
@@ -20,6 +21,7 @@
 from peridotpost.mesh import countedfeed
 from peridotpost.mesh import directory as directories
 from peridotpost.mesh import metrics
+from peridotpost.mesh import releases as release_parts
 from peridotpost.mesh import storefeed
 from peridotpost.mesh import versions as version_feed
 from peridotpost.model import instances
@@ -99,12 +101,14 @@
         self.directory = directories.Directory(
             self.own, self.guard, self.randomness, self.counts, self.log
         )
+        split = releasesplit.ReleaseSplit()
         self.forwarder = forwarders.Forwarder(
             headers,
             settings.service,
             self.directory,
             selection.Selector(settings.availability_zone, self.randomness),
             self.sweep,
+            split,
             self.counts,
             self.log,
         )
@@ -128,11 +132,28 @@
             self.counts,
             self.log,
         )
+        self.releases = release_parts.Releases(
+            split,
+            settings.releases.exposure,
+            self.directory,
+            self.guard,
+            self.feed,
+            self.randomness,
+            self.counts,
+            self.log,
+        )
         self.metrics = metrics.Metrics(self.counts, self)
         self.forwarder.observe = self._observe
         self.guard.reach.crashed.subscribe(self._own_target_crashed)
         self.directory.noticed.subscribe(self._noticed)
-        for name in ('guard', 'directory', 'forwarder', 'versions', 'feed'):
+        for name in (
+            'guard',
+            'directory',
+            'forwarder',
+            'versions',
+            'feed',
+            'releases',
+        ):
             self.kernel.register(name, getattr(self, name))
 
     @contextlib.asynccontextmanager
@@ -167,6 +188,7 @@
             try:
                 yield self
             finally:
+                await self.releases.close()
                 await tasks.end(*running)
 
     async def _listen(
@@ -195,6 +217,8 @@
         yield gauge('target_run_seconds', 'Mean time of a run', mean_s)
         in_flight = self.forwarder.in_flight
         yield gauge('requests_in_flight', 'Requests of callers', in_flight)
+        stage = self.releases.own_stage()
+        yield gauge('release_stage', 'Of the own service; 0 for none', stage)
         reachable = self.feed.reachable is True
         yield gauge('store_reachable', '1 if the store answers', reachable)
 
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -38,7 +38,11 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Peer:
-    """One other daemon."""
+    """One other daemon.
+
+    :param recorded: whether the store has its record.
+    :param told: whether it has told how its target stands.
+    """
 
     record: instances.HostRecord
     candidate: targetstate.Candidate
@@ -47,6 +51,7 @@
     next_try: float = 0.0
     pause_s: float = FIRST_PAUSE_S
     recorded: bool = False
+    told: bool = False
     missing_since: float = 0.0
 
 
@@ -108,6 +113,24 @@
             if not stream.suspect:
                 yield peer.candidate
 
+    def known_targets(
+        self,
+    ) -> Iterable[tuple[str, targetstate.Candidate, bool]]:
+        """Yield all hosts that are known, whether they are reached or not.
+
+        The last is whether a host has told of its target, or of having
+        none.
+        """
+        yield self.own.host, self.own_candidate, True
+        for host, peer in self.peers.items():
+            yield host, peer.candidate, peer.told
+
+    def tell(self, host: str, frame: frames.Frame) -> None:
+        """Send a frame to one daemon, if it is reached."""
+        peer = self.peers.get(host)
+        if peer is not None and peer.stream is not None:
+            peer.stream.send(frame)
+
     def send(self, host: str, order: forwarding.Order) -> bool:
         if host == self.own.host:
             self.guard.submit(order)
@@ -129,6 +152,9 @@
     def repeat_share(self) -> float:
         return self.guard.repeat_share()
 
+    def running(self, attempt_id: bytes) -> forwarding.Order | None:
+        return self.guard.running_by_attempt.get(attempt_id)
+
     def siblings(self) -> int:
         """Return how many targets the own target's service has."""
         service = self.own_candidate.service
@@ -356,7 +382,11 @@
 
     def _own_target_changed(self, status: instances.TargetStatus) -> None:
         self.own_candidate.stands(
-            status.service, status.instance, status.slots, status.ready
+            status.service,
+            status.instance,
+            status.slots,
+            status.ready,
+            status.version,
         )
         self.broadcast(self._status())
 
@@ -366,8 +396,13 @@
         peer = self.peers.get(stream.host)
         if peer is None or peer.stream is not stream:
             return
+        peer.told = True
         peer.candidate.stands(
-            told.service, told.instance, told.slots, told.ready
+            told.service,
+            told.instance,
+            told.slots,
+            told.ready,
+            told.version,
         )
         _report(peer.candidate, told.load / 100, told.failing / 100)
 
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -14,12 +14,14 @@
 from typing import Protocol
 
 from peridotpost.kernel import counters
+from peridotpost.kernel import hooks
 from peridotpost.kernel import lines
 from peridotpost.kernel import tasks
 from peridotpost.mesh import directory as directories
 from peridotpost.mesh import versions as version_feed
 from peridotpost.model import errors
 from peridotpost.model import instances
+from peridotpost.model import release
 from peridotpost.proxy import deadlines
 
 RETRY_S = 0.25
@@ -51,10 +53,14 @@
 
     :param raw: None where there is none, or none since the last read.
     :param revision: of the store; a watch goes on from it.
+    :param orders: to release a version, those that changed.
+    :param unusable: what is wrong with orders that can't be used.
     """
 
     raw: bytes | None
     revision: int
+    orders: tuple[release.ReleaseOrder, ...] = ()
+    unusable: tuple[str, ...] = ()
 
 
 class Feed(Protocol):
@@ -86,6 +92,20 @@
     async def end(self, lease: int) -> None:
         """End a lease; its keys go."""
 
+    async def claim(self, service: str, host: str, lease: int) -> int | None:
+        """Make this host coordinator of a service's release.
+
+        Returns the epoch, None where another host is coordinator.
+        """
+
+    async def read_status(self, service: str) -> release.ReleaseStatus:
+        """Return the status of a service's last release."""
+
+    async def write_status(
+        self, order: release.ReleaseOrder, epoch: int, stage: release.Stage
+    ) -> bool:
+        """Write a status; False where the epoch is over."""
+
 
 class StoreFeed:
     """Runs the watch and keeps this host's record."""
@@ -114,6 +134,7 @@
         self.back = asyncio.Event()
         self.registered = asyncio.Event()
         self.calls_fail = False
+        self.ordered: hooks.Hook[release.ReleaseOrder] = hooks.Hook('ordered')
         versions.followed_again.subscribe(self._followed_again)
 
     @property
@@ -134,6 +155,7 @@
                 revision = read.revision
                 pause_s = RETRY_S
                 self._note(True, '')
+                self._take_orders(read)
                 if read.raw is not None:
                     self.versions.offer(read.raw, 'store')
                     await asyncio.sleep(GATHER_S)
@@ -242,9 +264,16 @@
         except errors.StoreError as error:
             self._note(False, str(error))
             return
+        self._take_orders(found)
         if found.raw is not None:
             self.versions.offer(found.raw, 'store')
 
+    def _take_orders(self, read: ConfigRead) -> None:
+        for problem in read.unusable:
+            self.log.state('release', to='rejected', error=problem)
+        for order in read.orders:
+            self.ordered.fire(order)
+
     async def keep_record(self) -> None:
         """Keep this host's record in the store until cancelled."""
         pause_s = RETRY_S
--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -93,6 +93,7 @@
     :param repeat: why it comes once more; a guard counts these.
     :param inherited: what a request that comes first counts for as a
         repeat, 0 to 1; see ``decisions.budget``.
+    :param call_failed: whether a call that its run made failed.
     :param may_move: whether another target would be asked if this one
         were given up now.
     """
@@ -117,6 +118,7 @@
     received: float = 0.0
     repeat: Repeat = Repeat.NONE
     inherited: float = 0.0
+    call_failed: bool = False
     may_move: Callable[[], bool] = _never
 
     @property
--- a/src/peridotpost/model/instances.py
+++ b/src/peridotpost/model/instances.py
@@ -16,6 +16,8 @@
 
     :param born_ms: its start; tells two incarnations under one id apart.
     :param sequence: rises with each announcement of one incarnation.
+    :param version: of the target's software.
+    :param cold_s: for how long it stays slow after its start.
     """
 
     instance: str
@@ -26,6 +28,8 @@
     port: int
     slots: int
     state: InstanceState
+    version: str = ''
+    cold_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,9 +51,11 @@
     """What a guard tells others of its target and of itself.
 
     :param ready: whether new work may be sent.
+    :param version: of the target's software.
     """
 
     service: str
     instance: str
     slots: int
     ready: bool
+    version: str = ''
--- a/src/peridotpost/platform/announcements.py
+++ b/src/peridotpost/platform/announcements.py
@@ -13,10 +13,15 @@
 HEARTBEAT = 'instances.heartbeat'
 LEAVE = 'instances.leave'
 MAX_SLOTS = 100_000
+MS_IN_S = 1000
 
 
 class _Heartbeat(msgspec.Struct, rename='camel'):
-    """:param born: start of the target, Unix milliseconds."""
+    """What a target sends.
+
+    :param born: start of the target, Unix milliseconds.
+    :param version: of its software.
+    """
 
     service: str
     address: str
@@ -24,6 +29,8 @@
     state: str
     seq: int
     born: int = 0
+    version: str = ''
+    cold_remaining_ms: float = 0.0
 
 
 class _Leave(msgspec.Struct):
@@ -79,4 +86,6 @@
         port=port,
         slots=told.slots,
         state=state,
+        version=told.version,
+        cold_s=max(0.0, told.cold_remaining_ms / MS_IN_S),
     )
--- a/src/peridotpost/platform/headers.py
+++ b/src/peridotpost/platform/headers.py
@@ -2,6 +2,15 @@
 
 from peridotpost.proxy import names
 
+
+def parent_of(attempt_id: bytes) -> bytes:
+    """Return the id of the request that a target's call belongs to.
+
+    Calls are named after it, with a dot and a suffix.
+    """
+    return attempt_id.rpartition(b'.')[0]
+
+
 HEADERS = names.HeaderNames(
     attempt=b'x-attempt-id',
     deadline=b'x-deadline-remaining-ms',
@@ -9,4 +18,5 @@
     not_run=b'x-not-executed',
     instance=b'x-expected-instance',
     caller=b'x-caller-service',
+    parent_of=parent_of,
 )
--- a/src/peridotpost/platform/store.py
+++ b/src/peridotpost/platform/store.py
@@ -10,8 +10,11 @@
 from peridotpost.mesh import storefeed
 from peridotpost.model import errors
 from peridotpost.model import instances
+from peridotpost.model import release
+from peridotpost.platform import releases
 from peridotpost.proxy import client
 
+OPERATORS = 'op/'
 CONFIG_KEY = 'op/config'
 RECORDS = 'peridotpost/hosts/'
 CALL_S = 1.0
@@ -55,6 +58,10 @@
     events: list[_Item] = []
 
 
+class _Written(msgspec.Struct):
+    revision: int
+
+
 class _Lease(msgspec.Struct, rename='camel'):
     lease: int
     ttl_ms: int = 0
@@ -74,17 +81,12 @@
         self.calling.close()
 
     async def read_config(self) -> storefeed.ConfigRead:
-        found = await self._get('kv-key', {'key': CONFIG_KEY}, READ_S)
-        if found.status not in (200, 404):
-            raise self._refused('kv-key', found)
-        item = _decode(found.body, _Item)
-        if found.status == 404:
-            return storefeed.ConfigRead(None, item.at)
-        return storefeed.ConfigRead(_value_of(item), item.at)
+        found = await self._range({'prefix': OPERATORS}, READ_S)
+        return _read_of(found.items, found.at)
 
     async def next_config(self, revision: int) -> storefeed.ConfigRead:
         query = {
-            'prefix': CONFIG_KEY,
+            'prefix': OPERATORS,
             'after': str(revision),
             'waitMs': str(WATCH_MS),
         }
@@ -98,38 +100,19 @@
         if told.status != 200:
             raise self._refused('kv-watch', told)
         events = _decode(told.body, _Events)
-        raw = None
-        for item in events.events:
-            if item.key == CONFIG_KEY and not item.deleted:
-                raw = _value_of(item)
-        return storefeed.ConfigRead(raw, max(revision, events.at))
+        return _read_of(events.events, max(revision, events.at))
 
     async def read_records(self, stale: bool) -> list[instances.HostRecord]:
-        found: list[instances.HostRecord] = []
         query = {'prefix': RECORDS}
         if stale:
             query['staleOk'] = '1'
-        while True:
-            told = await self._get('kv-range', query)
-            if told.status != 200:
-                raise self._refused('kv-range', told)
-            page = _decode(told.body, _Range)
-            found += [
-                record
-                for record in map(_record_of, page.items)
-                if record is not None
-            ]
-            if not page.has_more or not page.items:
-                return found
-            query['after'] = page.items[-1].key
+        found = await self._range(query, CALL_S)
+        records = map(_record_of, found.items)
+        return [record for record in records if record is not None]
 
     async def register(self, record: instances.HostRecord, lease: int) -> None:
         value = msgspec.json.encode(record)
-        write = {
-            'key': RECORDS + record.host,
-            'value': base64.b64encode(value).decode(),
-            'lease': lease,
-        }
+        write = _write(RECORDS + record.host, value, lease)
         told = await self._post(
             'kv-txn', {'precondition': [], 'writes': [write], 'remove': []}
         )
@@ -160,6 +143,74 @@
         if told.status not in (200, 404):
             raise self._refused('kv-lease-end', told)
 
+    async def claim(self, service: str, host: str, lease: int) -> int | None:
+        key = releases.COORDINATORS + service
+        write = _write(key, host.encode(), lease)
+        told = await self._post(
+            'kv-txn',
+            {
+                'precondition': [{'key': key, 'revision': 0}],
+                'writes': [write],
+                'remove': [],
+            },
+        )
+        if told.status == 412:
+            return None
+        if told.status == 404:
+            raise errors.LeaseLapsed(
+                'lease has ended; take a new one', step='txn', peer=self.peer
+            )
+        if told.status != 200:
+            raise self._refused('kv-txn', told)
+        return _decode(told.body, _Written).revision
+
+    async def read_status(self, service: str) -> release.ReleaseStatus:
+        key = releases.STATUS + service
+        told = await self._get('kv-key', {'key': key})
+        if told.status == 404:
+            return release.ReleaseStatus(None, '', 0)
+        if told.status != 200:
+            raise self._refused('kv-key', told)
+        item = _decode(told.body, _Item)
+        return releases.decode_status(_value_of(item), item.revision)
+
+    async def write_status(
+        self, order: release.ReleaseOrder, epoch: int, stage: release.Stage
+    ) -> bool:
+        key = releases.STATUS + order.service
+        claim = releases.COORDINATORS + order.service
+        write = _write(key, releases.encode_status(order, stage))
+        told = await self._post(
+            'kv-txn',
+            {
+                'precondition': [{'key': claim, 'revision': epoch}],
+                'writes': [write],
+                'remove': [],
+            },
+        )
+        if told.status not in (200, 412):
+            raise self._refused('kv-txn', told)
+        return told.status == 200
+
+    async def _range(self, query: dict[str, str], timeout_s: float) -> _Range:
+        """Read all pages of a range; `at` is the first page's.
+
+        A watch from there shows again what changed between the pages.
+        """
+        found: _Range | None = None
+        while True:
+            told = await self._get('kv-range', query, timeout_s)
+            if told.status != 200:
+                raise self._refused('kv-range', told)
+            page = _decode(told.body, _Range)
+            if found is None:
+                found = page
+            else:
+                found.items += page.items
+            if not page.has_more or not page.items:
+                return found
+            query = {**query, 'after': page.items[-1].key}
+
     async def _get(
         self, call: str, query: dict[str, str], timeout_s: float = CALL_S
     ) -> client.Response:
@@ -197,6 +248,35 @@
         return kind(f'status {told.status}', step=call, peer=self.peer)
 
 
+def _write(key: str, value: bytes, lease: int = 0) -> dict[str, Any]:
+    """Return one entry of a transaction's writes."""
+    return {
+        'key': key,
+        'value': base64.b64encode(value).decode(),
+        'lease': lease,
+    }
+
+
+def _read_of(items: list[_Item], revision: int) -> storefeed.ConfigRead:
+    """Return what the operators wrote, as far as `items` tell."""
+    raw = None
+    orders: list[release.ReleaseOrder] = []
+    unusable: list[str] = []
+    for item in items:
+        if item.deleted:
+            continue
+        if item.key == CONFIG_KEY:
+            raw = _value_of(item)
+        elif item.key.startswith(releases.ORDERS):
+            try:
+                orders.append(
+                    releases.order_of(item.key, _value_of(item), item.revision)
+                )
+            except ValueError as error:
+                unusable.append(str(error))
+    return storefeed.ConfigRead(raw, revision, tuple(orders), tuple(unusable))
+
+
 def _value_of(item: _Item) -> bytes:
     """Return an item's bytes; none where another writer spoiled them."""
     try:
--- a/src/peridotpost/proxy/exchange.py
+++ b/src/peridotpost/proxy/exchange.py
@@ -33,6 +33,9 @@
     :param retry_after_s: when to come back, as the last guard said.
     :param first_at: when its caller first asked for it, `started` but for
         one that was refused before.
+    :param new_version: whether it goes to the version that is released.
+    :param parent: the run of the own target that made this call, if it is
+        one.
     :param patient_until: the caller's own deadline; the route's timeout
         where it told none.
     """
@@ -58,6 +61,8 @@
         'retry_after_s',
         'first_at',
         'patient_until',
+        'parent',
+        'new_version',
     )
 
     def __init__(
@@ -90,6 +95,8 @@
         self.retry_after_s = NO_TARGET_RETURN_S
         self.first_at = self.started
         self.patient_until = self.deadline
+        self.parent: forwarding.Order | None = None
+        self.new_version = False
 
     @property
     def host(self) -> str:
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from peridotpost.decisions import attempts
+from peridotpost.decisions import releasesplit
 from peridotpost.decisions import returning
 from peridotpost.decisions import selection
 from peridotpost.decisions import split
@@ -43,6 +44,9 @@
     def repeat_share(self) -> float:
         """Return the share of repeats among what the own target runs."""
 
+    def running(self, attempt_id: bytes) -> forwarding.Order | None:
+        """Return what the own target runs under an attempt id."""
+
 
 class Forwarder:
     """Routes, dispatches, tries again, answers."""
@@ -54,9 +58,11 @@
         backends: Backends,
         selector: selection.Selector,
         sweep: deadlines.Deadlines,
+        releases: releasesplit.ReleaseSplit,
         counts: counters.Counters,
         log: lines.LineLog,
     ) -> None:
+        self.releases = releases
         self.names = header_names
         self.backends = backends
         self.selector = selector
@@ -71,6 +77,7 @@
         )
         self.in_flight = 0
         self.no_budget_at: dict[str, float] = {}
+        self.parents_known = False
         self.observe: (
             Callable[[exchanges.Exchange, int, float], None] | None
         ) = None
@@ -105,6 +112,10 @@
             exchange.first_at = first.at
             exchange.patient_until = first.until
             exchange.objective -= exchange.started - first.at
+        exchange.parent = self._parent(message)
+        exchange.new_version = self.releases.draws_new(
+            service, exchange.started
+        )
         exchange.head = bytes(message.head) + self.caller_head
         self.in_flight += 1
         if self.recognition.crashes_targets(message):
@@ -134,6 +145,22 @@
                 return first.service
         return self.splitter.pick(route.name, route.shares)
 
+    def _parent(self, message: http1.Message) -> forwarding.Order | None:
+        """Return the run of the own target that makes this call."""
+        parent_id = self.names.parent_of(message.attempt_id)
+        if not parent_id:
+            return None
+        parent = self.backends.running(parent_id)
+        self.parents_known = self.parents_known or parent is not None
+        return parent
+
+    def _inherited(self, exchange: exchanges.Exchange) -> float:
+        """Return what a first dispatch counts for as a repeat, 0 to 1."""
+        if exchange.parent is not None:
+            return exchange.parent.repeat_weight
+        # Where calls name their parents, all else comes from callers.
+        return 0.0 if self.parents_known else self.backends.repeat_share()
+
     def _set_times(self, exchange: exchanges.Exchange) -> None:
         told = exchange.message.deadline_ms
         if told.isdigit():
@@ -172,7 +199,7 @@
         self, exchange: exchanges.Exchange, now: float
     ) -> targetstate.Candidate | None:
         route = exchange.route.name
-        candidates = list(self.backends.candidates(exchange.service))
+        candidates = self._candidates(exchange)
         left_s = exchange.objective - now
         if left_s <= 0:
             left_s = exchange.deadline - now
@@ -192,6 +219,25 @@
             found = self.selector.last_resort(candidates, route, now)
         return found
 
+    def _candidates(
+        self, exchange: exchanges.Exchange
+    ) -> list[targetstate.Candidate]:
+        """Return the targets of the version that the request goes to."""
+        service = exchange.service
+        known = list(self.backends.candidates(service))
+        if exchange.new_version:
+            found = self.releases.allowed(service, known, new=True)
+            if any(self._may_try(exchange, one) for one in found):
+                return found
+            exchange.new_version = False
+        return self.releases.allowed(service, known, new=False)
+
+    @staticmethod
+    def _may_try(
+        exchange: exchanges.Exchange, one: targetstate.Candidate
+    ) -> bool:
+        return one.ready and one.host not in exchange.tried
+
     def _order(
         self, exchange: exchanges.Exchange, candidate: targetstate.Candidate
     ) -> forwarding.Order:
@@ -214,7 +260,7 @@
             ),
             route=exchange.route.name,
             repeat=exchange.attempts.repeat,
-            inherited=self.backends.repeat_share(),
+            inherited=self._inherited(exchange),
             may_move=lambda: self._may_move(exchange),
         )
         return order
@@ -226,7 +272,7 @@
             return False
         others = any(
             one.ready and one.host not in exchange.tried
-            for one in self.backends.candidates(exchange.service)
+            for one in self._candidates(exchange)
         )
         no_budget_at = self.no_budget_at.get(exchange.service, -NO_BUDGET_S)
         return others and now - no_budget_at >= NO_BUDGET_S
@@ -262,6 +308,8 @@
         now: float,
     ) -> None:
         """Learn from an outcome what it says of the target."""
+        if not isinstance(outcome, forwarding.Refused):
+            self.releases.ran(exchange.service, candidate.version)
         if isinstance(outcome, forwarding.Refused):
             if outcome.arrived:
                 # The guard keeps within the slots, so a target that turns
@@ -287,6 +335,8 @@
     def _deliver(
         self, exchange: exchanges.Exchange, outcome: forwarding.TargetAnswer
     ) -> None:
+        if outcome.status >= attempts.FAILED_STATUS:
+            self._note_failed_call(exchange)
         if outcome.status < attempts.FAILED_STATUS:
             self.recognition.was_answered(exchange.message)
         self.log.answered(exchange, outcome.status)
@@ -297,6 +347,12 @@
             )
         )
 
+    @staticmethod
+    def _note_failed_call(exchange: exchanges.Exchange) -> None:
+        """Tell the run that made a call that the call failed."""
+        if exchange.parent is not None:
+            exchange.parent.call_failed = True
+
     def _give_up(
         self, exchange: exchanges.Exchange, reason: forwarding.Refusal
     ) -> None:
@@ -316,6 +372,7 @@
         self, exchange: exchanges.Exchange, reason: forwarding.Refusal
     ) -> None:
         self._end(exchange)
+        self._note_failed_call(exchange)
         self.recognition.was_refused(exchange)
         self.log.ended(exchange, 'refused', '', reason.value)
         self._own_answer(
@@ -332,6 +389,7 @@
         if exchange.attempts.failed is not None:
             self._deliver(exchange, exchange.attempts.failed)
             return
+        self._note_failed_call(exchange)
         detail = exchange.attempts.lost or 'no answer in time'
         self.log.ended(exchange, 'timeout', exchange.host, detail)
         if dispatched or exchange.attempts.lost:
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -93,6 +93,7 @@
     ready: bool
     load: int
     failing: int = 0
+    version: str = ''
 
 
 class Hello(msgspec.Struct, array_like=True, tag=7):
@@ -177,6 +178,45 @@
     hosts: list[Hello]
 
 
+class ReleaseTold(msgspec.Struct, array_like=True, tag=16):
+    """A coordinator's word; see ``release.ReleaseState``.
+
+    :param share: in ten-thousandths.
+    """
+
+    service: str
+    version: str
+    revision: int
+    duration_ms: int
+    epoch: int
+    number: int
+    stage: int
+    share: int
+    focus: str
+    elapsed_ms: int
+    coordinator: str
+    banned: list[str] = []
+
+
+class RouteTold(msgspec.Struct, array_like=True):
+    """Runs of one route; see ``release.RouteRuns``."""
+
+    route: str
+    runs: int
+    failed: int
+    by_time: dict[int, int]
+
+
+class ReleaseReport(msgspec.Struct, array_like=True, tag=17):
+    """What a guard tells a coordinator; see ``release.TargetReport``."""
+
+    service: str
+    revision: int
+    version: str
+    drained: bool
+    routes: list[RouteTold]
+
+
 Frame = (
     Dispatch
     | Cancel
@@ -193,6 +233,8 @@
     | Ping
     | Pong
     | Known
+    | ReleaseTold
+    | ReleaseReport
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import random
 
 from peridotpost.decisions import attempts
@@ -35,6 +36,15 @@
 the deadline, the guard only where the ingress is gone."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunEnd:
+    """The end of a run, `at` seconds since boot."""
+
+    order: forwarding.Order
+    outcome: forwarding.Outcome
+    at: float
+
+
 class Guard:
     """Slots, queue and connections of one target.
 
@@ -60,12 +70,15 @@
         self.queue = slot_rules.SlotQueue(0, randomness)
         self.idle = upstream.IdlePool()
         self.running: dict[forwarding.Order, upstream.TargetConnection] = {}
+        self.running_by_attempt: dict[bytes, forwarding.Order] = {}
         self.opening: dict[forwarding.Order, asyncio.Task[None]] = {}
         self.expiries: dict[forwarding.Order, int] = {}
         self.reach = reachability.Reachability(self, log)
         self.failures = failures.FailureShare()
         self.failing_told_at = 0.0
         self.leaving = False
+        self.withheld = False
+        self.run_ended: hooks.Hook[RunEnd] = hooks.Hook('run-ended')
         self.changed: hooks.Hook[instances.TargetStatus] = hooks.Hook('target')
         self.instance_header = b''
 
@@ -82,6 +95,7 @@
             known.instance,
             known.slots,
             self.expects_target() and not self.reach.down,
+            known.version,
         )
 
     def announced(self, told: instances.Announcement) -> None:
@@ -118,6 +132,17 @@
             self.log.state('target', instance=instance, to='gone')
             self._status_changed()
 
+    def withhold(self, withheld: bool) -> None:
+        """Give the target no new work, or work again; what runs ends."""
+        if withheld != self.withheld:
+            self.withheld = withheld
+            self._status_changed()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the target runs nothing for this guard."""
+        return not self.running and not self.opening
+
     def stop_taking(self) -> None:
         """Take no work any more; what runs ends."""
         self.leaving = True
@@ -180,6 +205,7 @@
         known = self.instances.current
         return (
             not self.leaving
+            and not self.withheld
             and known is not None
             and known.state is instances.InstanceState.READY
         )
@@ -280,6 +306,7 @@
         if order.repeat:
             self.counts.add('requests.repeated')
         self.running[order] = connection
+        self.running_by_attempt[order.attempt_id] = order
         head = b'%s%s%s: %d\r\n' % (
             order.head,
             self.instance_header,
@@ -318,6 +345,7 @@
         """The run of `order` is over; its slot goes to the next."""
         now = deadlines.now()
         connection = self.running.pop(order, None)
+        self.running_by_attempt.pop(order.attempt_id, None)
         self._forget(order)
         if connection is not None and connection.usable(now):
             self.idle.add(connection)
@@ -329,6 +357,8 @@
             self.reach.answer_lost(order)
         if connection is None or not connection.abandoned:
             self._note_outcome(outcome, now)
+            if self.run_ended.subscribers:
+                self.run_ended.fire(RunEnd(order, outcome, now))
         done(outcome)
         self._apply(verdict)
 
--- a/src/peridotpost/proxy/orders.py
+++ b/src/peridotpost/proxy/orders.py
@@ -4,9 +4,11 @@
 
 from peridotpost.model import forwarding
 from peridotpost.model import instances
+from peridotpost.model import release
 from peridotpost.proxy import frames
 
 MS_IN_S = 1000
+SHARE_UNITS = 10_000
 
 
 def dispatch_of(
@@ -123,4 +125,74 @@
         status.ready,
         load,
         failing,
+        status.version,
+    )
+
+
+def told_of(state: release.ReleaseState) -> frames.ReleaseTold:
+    """Return the frame that tells a coordinator's state."""
+    order = state.order
+    return frames.ReleaseTold(
+        order.service,
+        order.version,
+        order.revision,
+        int(order.duration_s * MS_IN_S),
+        state.epoch,
+        state.number,
+        int(state.stage),
+        round(state.share * SHARE_UNITS),
+        state.focus,
+        int(state.elapsed_s * MS_IN_S),
+        state.coordinator,
+        list(state.banned),
+    )
+
+
+def state_of(told: frames.ReleaseTold) -> release.ReleaseState:
+    """Return the state that a frame tells."""
+    order = release.ReleaseOrder(
+        told.service,
+        told.version,
+        told.duration_ms / MS_IN_S,
+        told.revision,
+    )
+    return release.ReleaseState(
+        order,
+        told.epoch,
+        told.number,
+        release.Stage(told.stage),
+        told.share / SHARE_UNITS,
+        told.focus,
+        told.elapsed_ms / MS_IN_S,
+        told.coordinator,
+        tuple(told.banned),
+    )
+
+
+def report_frame(
+    order: release.ReleaseOrder, report: release.TargetReport
+) -> frames.ReleaseReport:
+    """Return the frame that tells a coordinator of a target."""
+    return frames.ReleaseReport(
+        order.service,
+        order.revision,
+        report.version,
+        report.drained,
+        [
+            frames.RouteTold(route, one.runs, one.failed, one.by_time)
+            for route, one in report.by_route.items()
+        ],
+    )
+
+
+def report_of(host: str, told: frames.ReleaseReport) -> release.TargetReport:
+    """Return the report that a frame of `host` brings."""
+    return release.TargetReport(
+        host,
+        told.version,
+        told.drained,
+        {
+            one.route: release.RouteRuns(one.runs, one.failed, one.by_time)
+            for one in told.routes
+        },
     )
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -29,13 +29,15 @@
 class Worker:
     """One target; counts what it ran, and what it saw leave.
 
-    ``sheds`` has it turn all requests away, unrun.
+    ``sheds`` has it turn all requests away, unrun; ``acts`` has it do the
+    same with each, whatever the path says.
     """
 
     def __init__(self, instance: str, slots: int = 4) -> None:
         self.instance = instance
         self.slots = slots
         self.sheds = False
+        self.acts = ''
         self.runs: list[Run] = []
         self.rejected: list[Run] = []
         self.dropped: list[Run] = []
@@ -94,7 +96,7 @@
                 b'Content-Length: 0\r\n\r\n'
             )
             return True
-        action = run.target.partition('?')[0].rpartition('/')[2]
+        action = self.acts or run.target.partition('?')[0].rpartition('/')[2]
         if self.sheds or action == 'shed':
             self.rejected.append(run)
             writer.write(
--- a/testing/test_attempts.py
+++ b/testing/test_attempts.py
@@ -9,6 +9,7 @@
 FAILED = forwarding.TargetAnswer(500, b'', b'', b'')
 LOST = forwarding.Lost('reset')
 FULL = forwarding.Refused(forwarding.Refusal.FULL)
+TOO_LATE = forwarding.Refused(forwarding.Refusal.TOO_LATE)
 SHED = forwarding.Refused(forwarding.Refusal.SHED, arrived=True)
 NO_BUDGET = forwarding.Refused(forwarding.Refusal.NO_RETRY_BUDGET)
 AGAIN = attempts.Step.AGAIN
@@ -26,6 +27,7 @@
         pytest.param([LOST, LOST], GIVE_UP, GIVE_UP, id='lost twice'),
         pytest.param([LOST, FULL], AGAIN, AGAIN, id='lost, then refused'),
         pytest.param([FULL], AGAIN, AGAIN, id='refused'),
+        pytest.param([TOO_LATE], GIVE_UP, GIVE_UP, id='too late elsewhere'),
         pytest.param([FULL] * 4, GIVE_UP, GIVE_UP, id='refused by all'),
         pytest.param([SHED], AGAIN, AGAIN, id='refused by the target'),
         pytest.param([SHED] * 2, AGAIN, AGAIN, id='by two targets'),
--- a/testing/test_proxy_callers.py
+++ b/testing/test_proxy_callers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from peridotpost.model import forwarding
 from testing import conditions
 from testing import proxies
 
@@ -159,3 +160,45 @@
         (run,) = far.worker.runs
         assert run.headers['x-caller-service'] == 'register'
         assert run.body == b'y' * 5000
+
+
+@pytest.mark.parametrize(
+    ('attempt', 'inherited'),
+    [
+        pytest.param('repeats.1', 1.0, id='call of a repeated run'),
+        pytest.param('first.1', 0.0, id='call of a first run'),
+        pytest.param('fresh', 0.0, id='request of a caller'),
+    ],
+)
+async def test_calls_are_repeats_where_the_run_that_makes_them_is_one(
+    attempt: str, inherited: float
+) -> None:
+    """A host's repeats marked all that its callers sent as repeats."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.ready()
+        async with host.caller() as one, host.caller() as other:
+            one.send('/read/hold', attempt='repeats')
+            other.send('/read/hold', attempt='first')
+            guard = host.proxy.guard
+            await conditions.until(lambda: len(guard.running) == 2)
+            guard.running_by_attempt[
+                b'repeats'
+            ].repeat = forwarding.Repeat.AGAIN
+            # The first call that names its parent shows that calls do.
+            await host.ask('/read/ok', attempt='first.0')
+            seen = []
+            submit = guard.submit
+
+            def note(order: forwarding.Order) -> None:
+                seen.append(order.inherited)
+                submit(order)
+
+            guard.submit = note  # type: ignore[method-assign]
+            assert (await host.ask('/read/ok', attempt=attempt)).status == 200
+            assert seen == [inherited]
+            host.worker.release.set()
+            await one.receive()
+            await other.receive()
--- /dev/null
+++ b/testing/test_releaseplan.py
@@ -0,0 +1,146 @@
+"""How a release goes on, judged by the stages that the fleet is told."""
+
+import pytest
+
+from peridotpost.decisions import releaseplan
+from peridotpost.model import release
+
+ORDER = release.ReleaseOrder('bonds', 'v2', 12.0, 10)
+OLD_HOSTS = ('a', 'b')
+NEW_HOSTS = ('c', 'd')
+TICK_S = 0.1
+
+
+def runs(count: int, failed: int = 0) -> dict[str, release.RouteRuns]:
+    return {'r': release.RouteRuns(count, failed, {10: count})}
+
+
+def view(
+    new_runs: int = 100,
+    failed: int = 0,
+    drained: tuple[str, ...] = (),
+    store: bool = True,
+    new_hosts: tuple[str, ...] = NEW_HOSTS,
+    old_hosts: tuple[str, ...] = OLD_HOSTS,
+) -> releaseplan.FleetView:
+    reports = [
+        release.TargetReport(host, 'v1', host in drained, runs(1000))
+        for host in OLD_HOSTS
+    ]
+    reports.append(
+        release.TargetReport('c', 'v2', False, runs(new_runs, failed))
+    )
+    return releaseplan.FleetView(reports, new_hosts, old_hosts, store)
+
+
+def plan_at(
+    seconds: float, seen: releaseplan.FleetView, duration_s: float = 12.0
+) -> releaseplan.ReleasePlan:
+    """Return a plan after so long of one view of the fleet."""
+    order = release.ReleaseOrder('bonds', 'v2', duration_s, 10)
+    plan = releaseplan.ReleasePlan(order, 0.1, 0.0, 0.0)
+    ticks = round(seconds / TICK_S)
+    for tick in range(ticks + 1):
+        plan.step(seen, tick * TICK_S)
+    return plan
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'stage', 'share'),
+    [
+        pytest.param(0.0, release.Stage.CANARY, 0.05, id='begin'),
+        pytest.param(8.8, release.Stage.CANARY, 0.05, id='before the shift'),
+        pytest.param(9.1, release.Stage.SHIFT, 0.25, id='first step'),
+        pytest.param(9.7, release.Stage.SHIFT, 0.5, id='second step'),
+        pytest.param(10.2, release.Stage.DRAIN, 1.0, id='drain'),
+    ],
+)
+def test_a_good_version_takes_over_before_the_deadline(
+    seconds: float, stage: release.Stage, share: float
+) -> None:
+    plan = plan_at(seconds, view())
+    assert plan.stage is stage
+    assert plan.share(seconds) == pytest.approx(share)
+
+
+@pytest.mark.parametrize(
+    ('seen', 'stage'),
+    [
+        pytest.param(
+            view(new_runs=5), release.Stage.CANARY, id='too few runs to tell'
+        ),
+        pytest.param(
+            view(store=False), release.Stage.CANARY, id='store is out'
+        ),
+        pytest.param(
+            view(new_hosts=()), release.Stage.CANARY, id='no target yet'
+        ),
+        pytest.param(
+            view(failed=40), release.Stage.ROLLED_BACK, id='it fails'
+        ),
+    ],
+)
+def test_what_holds_a_release_up_or_ends_it(
+    seen: releaseplan.FleetView, stage: release.Stage
+) -> None:
+    assert plan_at(14.0, seen).stage is stage
+
+
+def test_a_version_without_a_target_is_given_up() -> None:
+    seen = view(new_hosts=(), new_runs=0)
+    assert plan_at(23.0, seen).stage is release.Stage.ROLLED_BACK
+
+
+@pytest.mark.parametrize('seconds', [5.0, 9.3, 10.5])
+def test_a_version_that_turns_bad_is_rolled_back_at_any_stage(
+    seconds: float,
+) -> None:
+    plan = plan_at(seconds, view())
+    assert not plan.stage.is_final
+    plan.step(view(new_runs=130, failed=25), seconds + TICK_S)
+    assert plan.stage is release.Stage.ROLLED_BACK
+    assert plan.share(seconds) == 0.0
+
+
+def test_a_deadline_too_short_for_a_verdict_is_missed() -> None:
+    """Completed late costs less than a bad version in all requests."""
+    assert plan_at(2.0, view(), 1.0).stage is release.Stage.CANARY
+    assert plan_at(3.1, view(), 1.0).stage is release.Stage.SHIFT
+
+
+@pytest.mark.parametrize(
+    ('seen', 'is_drained'),
+    [
+        pytest.param(view(drained=('a', 'b')), True, id='all end'),
+        pytest.param(view(drained=('a',)), False, id='one runs'),
+        pytest.param(
+            view(drained=('a', 'b'), old_hosts=('a', 'b', 'x')),
+            False,
+            id='one that can not be asked',
+        ),
+        pytest.param(
+            view(drained=('a', 'b'), store=False), False, id='store is out'
+        ),
+    ],
+)
+def test_it_completes_when_nothing_runs_on_the_old_version(
+    seen: releaseplan.FleetView, is_drained: bool
+) -> None:
+    assert plan_at(11.0, view()).is_drained(seen) is is_drained
+    assert not plan_at(5.0, view()).is_drained(seen)
+
+
+def test_a_coordinator_that_takes_over_meets_the_fleet_first() -> None:
+    """Just started, it knows no target; the old ones still run requests."""
+    plan = releaseplan.ReleasePlan(ORDER, 0.1, 0.0, 11.0, release.Stage.DRAIN)
+    nobody = releaseplan.FleetView((), (), (), True)
+    plan.step(nobody, 11.1)
+    assert not plan.is_drained(nobody)
+    plan.step(nobody, 14.1)
+    assert plan.is_drained(nobody)
+
+
+def test_the_canary_share_goes_to_one_target_after_the_other() -> None:
+    plan = plan_at(0.0, view())
+    seen = [plan.focus(view(), now) for now in (0.5, 1.5, 2.5)]
+    assert seen == ['c', 'd', 'c']
--- /dev/null
+++ b/testing/test_releases.py
@@ -0,0 +1,251 @@
+"""Releases over whole proxies: orders in the store, two versions."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import json
+from typing import Any
+
+import pytest
+
+from peridotpost.decisions import releaseplan
+from peridotpost.mesh import releasecoordinator
+from peridotpost.model import release
+from testing import conditions
+from testing import proxies
+
+STATUS = 'status/rollout/register'
+COORDINATOR = 'peridotpost/coordinators/register'
+
+
+@pytest.fixture(autouse=True)
+def short_stages(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Stages that take a tenth of their time."""
+    for name, seconds in (
+        ('LEAST_CANARY_S', 0.3),
+        ('DRAIN_S', 0.2),
+        ('STEP_S', 0.1),
+        ('FOCUS_S', 0.1),
+    ):
+        monkeypatch.setattr(releaseplan, name, seconds)
+    monkeypatch.setattr(releaseplan, 'LEAST_RUNS', 5)
+    monkeypatch.setattr(releasecoordinator, 'CLAIM_AGAIN_S', 0.8)
+
+
+@contextlib.asynccontextmanager
+async def two_versions() -> AsyncIterator[proxies.Mesh]:
+    """Two hosts with targets of v1, then two with targets of v2."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        for name in ('a', 'b'):
+            host = await mesh.add(name, slots=20)
+            await host.announce()
+        await mesh.ready()
+        for name in ('c', 'd'):
+            host = await mesh.add(name, slots=20)
+            await host.announce(version='v2')
+        await mesh.ready()
+        yield mesh
+
+
+async def order(mesh: proxies.Mesh, **given: Any) -> None:
+    told = {'service': 'register', 'targetVersion': 'v2', 'durationS': 1.5}
+    await mesh.kv.put('op/rollout/register', json.dumps(told | given).encode())
+
+
+def state(mesh: proxies.Mesh) -> str:
+    item = mesh.kv.items.get(STATUS)
+    if item is None:
+        return ''
+    told = json.loads(item.value)
+    return f'{told["state"]} {told["targetVersion"]}'
+
+
+async def has_status(mesh: proxies.Mesh, wanted: str) -> None:
+    await conditions.until(lambda: state(mesh) == wanted, wanted)
+
+
+def stage_at(host: proxies.Host) -> release.Stage | None:
+    known = host.proxy.releases.split.state('register')
+    return known.stage if known is not None else None
+
+
+async def end_lead(mesh: proxies.Mesh) -> str:
+    """End what leads the release, and its lease; returns the host."""
+    claim = mesh.kv.items[COORDINATOR]
+    leader = claim.value.decode()
+    await mesh.hosts[leader].proxy.releases.close()
+    await mesh.kv.end_lease(claim.lease)
+    return leader
+
+
+def runs(mesh: proxies.Mesh, *names: str) -> int:
+    return sum(len(mesh.hosts[name].worker.runs) for name in names)
+
+
+@contextlib.asynccontextmanager
+async def traffic(
+    mesh: proxies.Mesh, action: str = 'ok'
+) -> AsyncIterator[list[int]]:
+    """Callers at all hosts that ask all the time; yields the statuses.
+
+    :param action: what targets of the new version do with a request.
+    """
+    statuses: list[int] = []
+    for name in ('c', 'd'):
+        mesh.hosts[name].worker.acts = action
+
+    async def ask(host: proxies.Host, number: int) -> None:
+        asked = 0
+        async with host.caller() as caller:
+            while True:
+                asked += 1
+                answer = await caller.ask(
+                    '/read/ok', attempt=f'{host.name}{number}-{asked}'
+                )
+                statuses.append(answer.status)
+                await asyncio.sleep(0.002)
+
+    asking = [
+        asyncio.ensure_future(ask(host, number))
+        for host in mesh.hosts.values()
+        for number in range(2)
+    ]
+    try:
+        yield statuses
+    finally:
+        for task in asking:
+            task.cancel()
+        await asyncio.gather(*asking, return_exceptions=True)
+
+
+async def test_a_new_version_gets_nothing_without_an_order() -> None:
+    async with two_versions() as mesh, traffic(mesh) as statuses:
+        await conditions.until(lambda: len(statuses) >= 200)
+        assert runs(mesh, 'c', 'd') == 0
+        assert set(statuses) == {200}
+
+
+async def test_a_good_version_takes_the_service_over() -> None:
+    async with two_versions() as mesh, traffic(mesh) as statuses:
+        await order(mesh)
+        await has_status(mesh, 'running v2')
+        await has_status(mesh, 'completed v2')
+        assert all(mesh.hosts[name].proxy.guard.is_idle for name in ('a', 'b'))
+        before, new = runs(mesh, 'a', 'b'), runs(mesh, 'c', 'd')
+        await conditions.until(lambda: runs(mesh, 'c', 'd') >= new + 100)
+        assert runs(mesh, 'a', 'b') == before
+        assert set(statuses) == {200}
+
+
+async def test_a_version_that_fails_is_rolled_back() -> None:
+    async with two_versions() as mesh, traffic(mesh, 'failed') as statuses:
+        await order(mesh)
+        await has_status(mesh, 'rolled_back v2')
+        await conditions.until(
+            lambda: all(
+                stage_at(host) is release.Stage.ROLLED_BACK
+                for host in mesh.hosts.values()
+            )
+        )
+        new, old = runs(mesh, 'c', 'd'), runs(mesh, 'a', 'b')
+        assert new <= 0.1 * (new + old) + 50
+        await conditions.until(lambda: runs(mesh, 'a', 'b') >= old + 100)
+        assert runs(mesh, 'c', 'd') == new
+        assert set(statuses) <= {200, 500}
+
+
+async def test_another_daemon_goes_on_when_the_coordinator_ends() -> None:
+    """The one that leads is killed; its lease lapses."""
+    async with two_versions() as mesh, traffic(mesh):
+        await order(mesh, durationS=3.0)
+        await has_status(mesh, 'running v2')
+        leader = await end_lead(mesh)
+        await has_status(mesh, 'completed v2')
+        heard = mesh.hosts['a'].proxy.releases.split.state('register')
+        assert heard is not None and heard.coordinator != leader
+
+
+async def test_a_roll_back_is_written_though_its_coordinator_ends() -> None:
+    """The fleet was told, and the store was not when the leader was killed."""
+    async with two_versions() as mesh, traffic(mesh, 'failed'):
+        await order(mesh, durationS=30.0)
+        await has_status(mesh, 'running v2')
+        mesh.kv.status = 503
+        await conditions.until(
+            lambda: stage_at(mesh.hosts['a']) is release.Stage.ROLLED_BACK
+        )
+        await end_lead(mesh)
+        mesh.kv.status = 0
+        await has_status(mesh, 'rolled_back v2')
+
+
+async def test_a_daemon_that_joins_is_told_of_a_roll_back() -> None:
+    async with two_versions() as mesh:
+        async with traffic(mesh, 'failed'):
+            await order(mesh)
+            await has_status(mesh, 'rolled_back v2')
+        host = await mesh.add('e', slots=20)
+        await conditions.until(
+            lambda: stage_at(host) is release.Stage.ROLLED_BACK
+        )
+        await host.announce(version='v2')
+        assert not host.proxy.guard.status().ready
+
+
+async def test_a_second_order_replaces_the_first() -> None:
+    """The operator wants v3 while v2 is still judged."""
+    async with two_versions() as mesh, traffic(mesh):
+        await order(mesh, durationS=60.0)
+        await has_status(mesh, 'running v2')
+        host = mesh.hosts['d']
+        await host.announce(version='v3', born=2000)
+        await order(mesh, targetVersion='v3')
+        await has_status(mesh, 'completed v3')
+        assert not mesh.hosts['c'].proxy.guard.status().ready
+
+
+async def test_an_order_for_the_version_in_force_completes() -> None:
+    async with two_versions() as mesh, traffic(mesh):
+        await order(mesh)
+        await has_status(mesh, 'completed v2')
+        done = mesh.kv.items[STATUS].revision
+        for name in ('a', 'b'):
+            await mesh.hosts[name].tell(
+                'instances.leave', mesh.hosts[name].worker.instance, b''
+            )
+        await order(mesh)
+        await conditions.until(
+            lambda: (
+                state(mesh) == 'completed v2'
+                and mesh.kv.items[STATUS].revision > done
+            )
+        )
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        pytest.param(b'no JSON', id='garbage'),
+        pytest.param(b'{"targetVersion": "v2"}', id='no duration'),
+        pytest.param(
+            b'{"targetVersion": "v2", "durationS": -1}', id='negative'
+        ),
+        pytest.param(b'{"targetVersion": "", "durationS": 5}', id='empty'),
+    ],
+)
+async def test_an_order_that_can_not_be_used_moves_nothing(
+    raw: bytes,
+) -> None:
+    async with two_versions() as mesh, traffic(mesh) as statuses:
+        await mesh.kv.put('op/rollout/register', raw)
+        await mesh.kv.configure(proxies.config(2))
+        await conditions.until(
+            lambda: all(
+                host.proxy.versions.version == 2
+                for host in mesh.hosts.values()
+            )
+        )
+        await conditions.until(lambda: len(statuses) >= 100)
+        assert runs(mesh, 'c', 'd') == 0
+        assert not state(mesh)
--- /dev/null
+++ b/testing/test_releasesplit.py
@@ -0,0 +1,185 @@
+"""Which version gets a request, while a release is under way and after."""
+
+import random
+
+import pytest
+
+from peridotpost.decisions import releasesplit
+from peridotpost.decisions import targetstate
+from peridotpost.model import release
+
+ORDER = release.ReleaseOrder('bonds', 'v2', 12.0, 10)
+
+
+def state(
+    stage: release.Stage = release.Stage.CANARY,
+    share: float = 0.05,
+    number: int = 1,
+    epoch: int = 11,
+    order: release.ReleaseOrder = ORDER,
+    **given: object,
+) -> release.ReleaseState:
+    fields = {'focus': '', 'elapsed_s': 0.0, 'coordinator': 'c'} | given
+    return release.ReleaseState(
+        order,
+        epoch,
+        number,
+        stage,
+        share,
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+def target(
+    host: str, version: str, ready: bool = True
+) -> targetstate.Candidate:
+    return targetstate.Candidate(
+        host, 'zone', service='bonds', version=version, ready=ready
+    )
+
+
+KNOWN = [target('a', 'v1'), target('b', 'v1'), target('c', 'v2')]
+
+
+def hosts(
+    split: releasesplit.ReleaseSplit,
+    new: bool = False,
+    known: list[targetstate.Candidate] = KNOWN,
+) -> str:
+    return ''.join(one.host for one in split.allowed('bonds', known, new))
+
+
+def test_without_an_order_a_new_version_gets_nothing() -> None:
+    """Its targets start before the order is read; idle, they draw load."""
+    split = releasesplit.ReleaseSplit()
+    assert hosts(split, known=KNOWN[:2]) == 'ab'
+    assert hosts(split) == 'ab'
+
+
+def test_a_version_is_served_that_alone_is_left() -> None:
+    split = releasesplit.ReleaseSplit()
+    assert hosts(split, known=KNOWN[:2]) == 'ab'
+    assert hosts(split, known=[target('c', 'v2')]) == 'c'
+
+
+def test_the_share_holds_while_ingresses_come_and_go(
+    randomness: random.Random,
+) -> None:
+    """Ingresses restart all the time and forget what they sent."""
+    fleet = [releasesplit.ReleaseSplit() for _ in range(70)]
+    for one in fleet:
+        one.offer(state(), 0.0)
+    new = total = 0
+    for turn in range(20_000):
+        if turn % 50 == 0:
+            fresh = releasesplit.ReleaseSplit()
+            fresh.offer(state(), 0.0)
+            fleet[randomness.randrange(70)] = fresh
+        ingress = randomness.choice(fleet)
+        is_new = ingress.draws_new('bonds', 0.1)
+        ingress.ran('bonds', 'v2' if is_new else 'v1')
+        new += is_new
+        total += 1
+        assert new <= 0.05 * total
+    assert new > 0.02 * total
+
+
+def test_an_ingress_that_hears_nothing_sends_nothing_new() -> None:
+    split = releasesplit.ReleaseSplit()
+    split.offer(state(share=0.5), 0.0)
+    split.ran('bonds', 'v1')
+    assert split.draws_new('bonds', 1.0)
+    split.ran('bonds', 'v1')
+    assert not split.draws_new('bonds', releasesplit.HOLD_S + 0.1)
+
+
+def test_the_focus_gets_the_canary_share() -> None:
+    split = releasesplit.ReleaseSplit()
+    known = [*KNOWN, target('d', 'v2')]
+    split.offer(state(focus='d'), 0.0)
+    assert hosts(split, new=True, known=known) == 'd'
+    split.offer(state(number=2), 0.0)
+    assert hosts(split, new=True, known=known) == 'cd'
+
+
+@pytest.mark.parametrize(
+    ('stage', 'served', 'old_refuses', 'new_refuses'),
+    [
+        pytest.param(release.Stage.CANARY, 'ab', False, False, id='canary'),
+        pytest.param(release.Stage.SHIFT, 'ab', False, False, id='shift'),
+        pytest.param(release.Stage.DRAIN, 'c', True, False, id='drain'),
+        pytest.param(
+            release.Stage.COMPLETED, 'c', True, False, id='completed'
+        ),
+        pytest.param(
+            release.Stage.ROLLED_BACK, 'ab', False, True, id='rolled back'
+        ),
+    ],
+)
+def test_stages_say_who_is_served(
+    stage: release.Stage, served: str, old_refuses: bool, new_refuses: bool
+) -> None:
+    split = releasesplit.ReleaseSplit()
+    split.offer(state(stage), 0.0)
+    assert hosts(split) == served
+    assert split.refuses('bonds', 'v1') is old_refuses
+    assert split.refuses('bonds', 'v2') is new_refuses
+    assert not split.refuses('other', 'v2')
+
+
+@pytest.mark.parametrize(
+    ('told', 'is_news'),
+    [
+        pytest.param(state(number=3), True, id='next word'),
+        pytest.param(state(number=1), False, id='late word'),
+        pytest.param(state(epoch=12, number=1), True, id='next coordinator'),
+        pytest.param(state(epoch=9, number=7), False, id='former one'),
+        pytest.param(
+            state(release.Stage.ROLLED_BACK, epoch=9), True, id='final'
+        ),
+        pytest.param(
+            state(order=release.ReleaseOrder('bonds', 'v3', 9.0, 20), epoch=1),
+            True,
+            id='next order',
+        ),
+        pytest.param(
+            state(order=release.ReleaseOrder('bonds', 'v0', 9.0, 5)),
+            False,
+            id='former order',
+        ),
+    ],
+)
+def test_the_newest_word_counts(
+    told: release.ReleaseState, is_news: bool
+) -> None:
+    split = releasesplit.ReleaseSplit()
+    split.offer(state(number=2), 0.0)
+    assert split.offer(told, 0.0) is is_news
+
+
+@pytest.mark.parametrize(
+    'final', [release.Stage.ROLLED_BACK, release.Stage.COMPLETED]
+)
+def test_a_paused_coordinator_does_not_undo_an_end(
+    final: release.Stage,
+) -> None:
+    split = releasesplit.ReleaseSplit()
+    split.offer(state(final, epoch=12), 0.0)
+    assert not split.offer(state(epoch=13, number=9), 0.0)
+    known = split.state('bonds')
+    assert known is not None and known.stage is final
+
+
+def test_a_version_that_was_not_let_through_stays_without_work() -> None:
+    """A second order comes while the first version is still judged."""
+    split = releasesplit.ReleaseSplit()
+    split.offer(state(), 0.0)
+    second = release.ReleaseOrder('bonds', 'v3', 12.0, 20)
+    banned = split.banned(second)
+    assert banned == ('v2',)
+    split.offer(state(order=second, banned=banned), 0.0)
+    assert hosts(split, known=[*KNOWN, target('e', 'v3')]) == 'ab'
+    assert split.refuses('bonds', 'v2')
+    assert not split.banned(release.ReleaseOrder('bonds', 'v2', 12.0, 30)) or (
+        'v2' not in split.banned(release.ReleaseOrder('bonds', 'v2', 12.0, 30))
+    )
--- /dev/null
+++ b/testing/test_verdict.py
@@ -0,0 +1,121 @@
+"""Which versions are found to be bad, and how soon."""
+
+import random
+
+import pytest
+
+from peridotpost.decisions import verdict
+from peridotpost.model import release
+from testing import releaseload
+
+OLD_RATE = 40
+NEW_RATE = 2
+"""Runs in a tenth of a second, over all targets of a version."""
+TRIALS = 60
+
+
+def bad_runs_until_found(
+    routes: dict[str, releaseload.Behaviour], seed: int, ticks: int = 120
+) -> int | None:
+    """Return how many runs a version spoiled; None if it was not found."""
+    randomness = random.Random(seed)
+    judge = verdict.Verdict()
+    old = {route: release.RouteRuns() for route in routes}
+    new = {route: release.RouteRuns() for route in routes}
+    good = releaseload.Behaviour()
+    bad = 0
+    for tick in range(ticks):
+        at_s = tick / 10
+        for turn in range(OLD_RATE):
+            route = list(routes)[turn % len(routes)]
+            releaseload.run(old[route], good, at_s, True, randomness)
+        for turn in range(NEW_RATE):
+            route = list(routes)[(tick + turn) % len(routes)]
+            bad += releaseload.run(
+                new[route], routes[route], at_s, True, randomness
+            )
+        if judge.judge(old, new) is not None:
+            return bad
+    return None
+
+
+@pytest.mark.parametrize(
+    ('how', 'least_found', 'most_spoiled'),
+    [
+        pytest.param(
+            releaseload.Behaviour(failing=0.5), 1.0, 50, id='half fail at once'
+        ),
+        pytest.param(
+            releaseload.Behaviour(failing=0.25), 0.95, 50, id='a quarter fail'
+        ),
+        pytest.param(
+            releaseload.Behaviour(failing=0.5, bad_from_s=6.0),
+            1.0,
+            50,
+            id='half fail late',
+        ),
+        pytest.param(
+            releaseload.Behaviour(slow=0.6), 0.95, 75, id='most are slow'
+        ),
+    ],
+)
+def test_a_bad_version_is_found_before_it_spoils_many_runs(
+    how: releaseload.Behaviour, least_found: float, most_spoiled: int
+) -> None:
+    found = [bad_runs_until_found({'r': how}, seed) for seed in range(TRIALS)]
+    spoiled = [one for one in found if one is not None]
+    assert len(spoiled) >= least_found * TRIALS
+    assert max(spoiled) <= most_spoiled
+
+
+def test_a_version_that_fails_one_route_is_found() -> None:
+    """One route of three fails half of its runs; pooled that is a sixth."""
+    routes = {
+        'a': releaseload.Behaviour(),
+        'b': releaseload.Behaviour(),
+        'c': releaseload.Behaviour(failing=0.6),
+    }
+    found = [bad_runs_until_found(routes, seed) for seed in range(TRIALS)]
+    assert sum(one is not None for one in found) >= 0.95 * TRIALS
+
+
+@pytest.mark.parametrize(
+    'how',
+    [
+        pytest.param(releaseload.Behaviour(), id='as the old one'),
+        pytest.param(releaseload.Behaviour(failing=0.0), id='fails less'),
+        pytest.param(releaseload.Behaviour(work_s=0.1), id='faster'),
+    ],
+)
+def test_a_good_version_is_let_through(how: releaseload.Behaviour) -> None:
+    for seed in range(TRIALS):
+        assert bad_runs_until_found({'r': how}, seed) is None
+
+
+def test_failures_that_the_old_version_shows_too_are_not_the_new_ones() -> (
+    None
+):
+    """Calls behind the service fail, and with them a third of its runs."""
+    randomness = random.Random(7)
+    how = releaseload.Behaviour(failing=0.33)
+    judge = verdict.Verdict()
+    old, new = release.RouteRuns(), release.RouteRuns()
+    for tick in range(120):
+        for _ in range(OLD_RATE):
+            releaseload.run(old, how, 0.0, True, randomness)
+        for _ in range(NEW_RATE):
+            releaseload.run(new, how, 0.0, True, randomness)
+        assert judge.judge({'r': old}, {'r': new}) is None, tick
+
+
+@pytest.mark.parametrize(
+    ('run_s', 'bucket'),
+    [
+        pytest.param(0.0, 0, id='nothing'),
+        pytest.param(0.001, 0, id='first bound'),
+        pytest.param(0.0015, 1, id='second bound'),
+        pytest.param(0.1, 12, id='a tenth of a second'),
+    ],
+)
+def test_run_times_fall_into_buckets(run_s: float, bucket: int) -> None:
+    assert verdict.bucket_of(run_s) == bucket
