Waits weigh double in the choice of a target; zones share free slots

Each ingress looked for the shortest time, which is the best for one request and not for those behind it. Calls waited behind such queues and stretched the runs that made them (a bond-issue's run from 299 to 398 ms), so that the calling services were full too: a collapse at 1.2 times the load that nobody left. Zones hold a service's slots in other proportions than its requests (3 of 9 targets for a quarter of them); the own zone was kept to up to nine tenths of the objective, and left only for a third of the time.

Change: a wait weighs double beside a run, as it is also what it costs those that come after. The own zone serves while one of its targets has a free slot and answers in time; then another zone's target with a free slot, if it costs less than .8 of the own zone's best. The last resort is the cheapest of all.

--- a/src/peridotpost/decisions/selection.py
+++ b/src/peridotpost/decisions/selection.py
@@ -6,16 +6,19 @@
 idle; spread evenly, most of them cross zones, which costs time and dear
 bytes for nothing.
 
-- What counts is the time at which an answer is expected: the wait for a
-  slot and the run (``targetstate``).
-- The own zone is used as long as its best target is expected to answer
-  within ``OWN_ZONE_SHARE`` of what is left of the objective; a crossing
-  then buys next to nothing for the caller.
-- Else all targets are compared, and another zone is used only for one
-  that takes less than ``WORTH_CROSSING`` of the own zone's time.
+- Targets are compared by the run expected there and the wait for a slot
+  (``targetstate``).  The wait weighs double, as it is also the time by which
+  the request holds up those that come after it: ingresses that each look for
+  the shortest time queue at the fast targets while slots of slow ones that
+  would answer in time stay free.
+- The own zone is used as long as one of its targets has a free slot and
+  costs less than ``OWN_ZONE_SHARE`` of what is left of the objective.
+- Else another zone is used for a target that has a free slot and costs less
+  than ``WORTH_CROSSING`` of the own zone's best.  Zones hold a service's
+  slots in other proportions than its requests.
 - After a refusal, another zone is asked only where a slot is likely to be
   free: when all are full, each question would cost bytes and find nothing.
-  The own zone is then asked once more, as the last resort.
+  The cheapest of all zones is then asked once more, as the last resort.
 - A target that fails more of what it takes than the others counts as slower
   by the time that a failure costs the caller.  What all targets of a service
   fail is caused behind them.
@@ -33,9 +36,9 @@
 from peridotpost.decisions import targetstate
 
 OWN_ZONE_SHARE = 0.9
-WORTH_CROSSING = 0.35
+WORTH_CROSSING = 0.8
 FULL = 0.9
-"""Load above which a target of another zone is not asked after a refusal."""
+"""Load above which a target is taken to have no free slot."""
 MOST_COMPARED = 8
 DRAW_POWER = 3
 """A target that takes twice as long gets an eighth of the requests."""
@@ -62,14 +65,14 @@
         self.failure_cost_s = failure_cost_s
         self.usual_s = targetstate.usual_run_s(self.ready, route)
 
-    def expected_s(self, one: targetstate.Candidate) -> float:
-        """Return the time until a target would have answered."""
-        expected_s = one.expected_s(self.route, self.usual_s, self.now)
+    def cost_s(self, one: targetstate.Candidate) -> float:
+        """Return what a request costs at a target, failures included."""
+        cost_s = one.cost_s(self.route, self.usual_s, self.now)
         failing = one.failure_share(self.now)
         if failing:
             excess = max(0.0, failing - self.usual_failure_share)
-            expected_s += self.failure_cost_s * excess
-        return expected_s
+            cost_s += self.failure_cost_s * excess
+        return cost_s
 
     @functools.cached_property
     def usual_failure_share(self) -> float:
@@ -116,28 +119,51 @@
         if not own:
             return self._draw(self._some(usable), view)[0]
         limit_s = OWN_ZONE_SHARE * objective_left_s
-        best, expected_s = self._draw(own, view)
-        if expected_s <= limit_s or len(own) == len(usable):
+        best, cost_s = self._draw(own, view)
+        if len(own) == len(usable) or self._suffices(
+            best, cost_s, limit_s, now
+        ):
             return best
-        for one in own:
-            other_s = view.expected_s(one)
-            if other_s < expected_s:
-                best, expected_s = one, other_s
-        if expected_s <= limit_s:
+        best = min(own, key=view.cost_s)
+        cost_s = view.cost_s(best)
+        if self._suffices(best, cost_s, limit_s, now):
             return best
-        far, far_s = self._draw(self._some(usable), view)
-        return far if far_s < WORTH_CROSSING * expected_s else best
+        free = [
+            one
+            for one in usable
+            if not self._is_near(one) and one.load_now(now) < FULL
+        ]
+        if not free:
+            return best
+        far, far_s = self._draw(self._some(free), view)
+        return far if far_s < WORTH_CROSSING * cost_s else best
+
+    def _suffices(
+        self,
+        one: targetstate.Candidate,
+        cost_s: float,
+        limit_s: float,
+        now: float,
+    ) -> bool:
+        """Whether a target of the own zone makes a crossing needless."""
+        return cost_s <= limit_s and one.load_now(now) < FULL
 
     def last_resort(
         self, known: Collection[targetstate.Candidate], route: str, now: float
     ) -> targetstate.Candidate | None:
         """Return who is to take what nobody had a free slot for."""
         view = View(known, route, now)
-        own = [one for one in view.ready if self._is_near(one)]
-        among = own or self._some(view.ready)
-        if not among:
+        if not view.ready:
             return None
-        return self._draw(among, view)[0]
+        return min(
+            self._some(view.ready), key=lambda one: self._far_cost_s(one, view)
+        )
+
+    def _far_cost_s(self, one: targetstate.Candidate, view: View) -> float:
+        """Return the cost, dearer where it takes a crossing."""
+        if self._is_near(one):
+            return WORTH_CROSSING * view.cost_s(one)
+        return view.cost_s(one)
 
     def _is_hopeful(self, one: targetstate.Candidate, now: float) -> bool:
         """Whether one is worth asking when a first target was full."""
@@ -163,7 +189,7 @@
         each time they would rush there together, and a target that just
         joined would never get the first requests that show its speed.
         """
-        times = [view.expected_s(one) for one in among]
+        times = [view.cost_s(one) for one in among]
         if len(among) == 1:
             return among[0], times[0]
         weights = [one**-DRAW_POWER for one in times]
--- a/src/peridotpost/decisions/targetstate.py
+++ b/src/peridotpost/decisions/targetstate.py
@@ -22,6 +22,8 @@
 """The mean is over routes, whose runs differ by a factor of five."""
 QUEUE_ONSET = 0.7
 """Load from which requests wait, as arrivals are uneven."""
+WAIT_WEIGHT = 2.0
+"""Of a wait, beside a run: who joins a queue also holds up those behind."""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -107,8 +109,8 @@
         told = float(self.load * 0.5 ** (age / REPORT_HALF_LIFE_S))
         return max(told, (self.outstanding + 1) / max(1, self.slots))
 
-    def expected_s(self, route: str, usual_s: float, now: float) -> float:
-        """Return the time until an answer, the way there left out.
+    def cost_s(self, route: str, usual_s: float, now: float) -> float:
+        """Return what a request costs here: its run and its weighted wait.
 
         :param usual_s: run time of the route where none is known here.
         """
@@ -117,7 +119,7 @@
         wait_s = 0.0
         if load > QUEUE_ONSET:
             wait_s = (load - QUEUE_ONSET) * self.run_s
-        return run_s + wait_s
+        return run_s + WAIT_WEIGHT * wait_s
 
 
 def usual_run_s(usable: Iterable[Candidate], route: str) -> float:
--- a/src/peridotpost/experiment/bound.py
+++ b/src/peridotpost/experiment/bound.py
@@ -138,7 +138,7 @@
     phases: list[scenarios.Phase],
 ) -> float:
     """Return slots of a service, each counted by its target's speed."""
-    count = service.per_zone * scenario.zones
+    count = service.count(scenario.zones)
     total = 0.0
     for index in range(count):
         speed = service.speeds[index % len(service.speeds)]
--- a/src/peridotpost/experiment/scenario.py
+++ b/src/peridotpost/experiment/scenario.py
@@ -25,14 +25,20 @@
     """Targets of one service.
 
     :param per_zone: targets in each zone, one a host.
+    :param targets: of all zones instead, dealt to them in turn.
     :param speeds: factors on the time of a run, in turn over the targets.
     """
 
     name: str
-    per_zone: Count
     slots: Count
+    per_zone: Count = 1
+    targets: Annotated[int, msgspec.Meta(ge=0)] = 0
     speeds: tuple[Positive, ...] = (1.0,)
 
+    def count(self, zones: int) -> int:
+        """Return how many targets there are in so many zones."""
+        return self.targets or self.per_zone * zones
+
 
 class InnerCall(_Strict, frozen=True):
     """Calls that a run makes while it holds its slot.
@@ -53,6 +59,7 @@
     :param worth: of an answer within the objective; `late_worth` after.
     :param retries: how often a refused caller comes back.
     :param kilobytes: request and answer together, with their heads.
+    :param waits: whether a run works only once its calls are answered.
     """
 
     name: str
@@ -70,6 +77,7 @@
     retries: int = 1
     kilobytes: NotNegative = 1.0
     calls: tuple[InnerCall, ...] = ()
+    waits: bool = False
 
 
 class Phase(_Strict, frozen=True):
--- a/testing/test_selection.py
+++ b/testing/test_selection.py
@@ -3,6 +3,8 @@
 import collections
 import random
 
+import pytest
+
 from peridotpost.decisions import selection
 from peridotpost.decisions import targetstate
 
@@ -43,6 +45,49 @@
     assert found['b'] > 1500
 
 
+def test_a_free_slot_of_a_slow_target_goes_before_a_fast_queue(
+    randomness: random.Random,
+) -> None:
+    """Fast targets had queues while slots of slow ones stayed free.
+
+    Each ingress looked for the shortest time, and runs that waited for
+    calls behind those queues filled the calling service as well.
+    """
+    fast = target('a', run_s=0.1, load=1.8)
+    slow = target('b', run_s=0.22, load=0.5)
+    assert shares([fast, slow], randomness, objective_s=0.9)['b'] > 1000
+
+
+def test_the_own_zone_serves_while_it_has_a_free_slot(
+    randomness: random.Random,
+) -> None:
+    """Idle targets of other zones look better at any load, and cost bytes."""
+    near = target('a', run_s=0.1, load=0.8)
+    far = target('b', 'far', run_s=0.05)
+    assert shares([near, far], randomness, objective_s=0.3)['a'] == 2000
+
+
+@pytest.mark.parametrize(
+    ('far_load', 'crosses'),
+    [
+        pytest.param(0.4, True, id='a free slot elsewhere'),
+        pytest.param(1.0, False, id='none elsewhere'),
+    ],
+)
+def test_a_zone_short_of_slots_uses_those_of_others(
+    far_load: float, crosses: bool, randomness: random.Random
+) -> None:
+    """One zone has three targets of a service, another two of nine.
+
+    Kept within nine tenths of the objective, the second refused while the
+    first had slots to spare, a millisecond away.
+    """
+    near = target('a', run_s=0.1, load=1.5)
+    far = target('b', 'far', run_s=0.1, load=far_load)
+    found = shares([near, far], randomness, objective_s=0.9)
+    assert (found['b'] > 1500) is crosses
+
+
 def test_a_zone_does_not_spill_to_one_as_full(
     randomness: random.Random,
 ) -> None:
