A freed slot goes to what will end in time; who comes again waits its turn

Cause, same logs: at 1.2 times the load the earliest objective goes first, so a caller that was refused and comes again with 200 ms left goes ahead of fresh ones; started while half of its mean run still fitted, most such runs ended late and brought the next to its brink. At second 6, 37% of the answers of bond-issue were late at their guard though waits were 119 ms in the median.

Change: within a rank, requests queue by arrival and the whole objective of their route (the same as before for fresh ones). A slot starts what its mean run ends in time; the rest waits as late, or is refused.

ByHeads in test_slots_mixed starts runs as before: its answers are late for what it stands for, not saved by the new start rule. InOrderOfArrival overrides the turn itself. Bounds as they were.

--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -9,11 +9,14 @@
 - The caller of this module is the only sender to its target, so slots are
   counted exactly and nothing waits inside the target.
 - What waits is served by the rank that operators gave its route (0
-  first).  Within a rank those that still make their objective go first,
-  the earliest objective first of all.  Calls of 30 ms that other requests
-  wait for do not stand behind requests that have half a second: in order of
-  arrival half of them are refused at 1.2 times the load, ahead none is.
+  first).  Within a rank those that still make their objective go first, by
+  arrival and the whole objective of their route: short calls that other
+  requests wait for do not stand behind requests that have half a second.
   Those that will be late go after them.
+- A caller that was refused and comes again does not go ahead of fresh ones
+  for having less of its objective left.  Served at the brink, it would end
+  late and bring the next one to its brink.
+- A slot that frees goes to a request whose mean run still ends in time.
 - A request waits only if its turn comes in time.  Its wait is the work
   ahead of it, by route, over the part of the slots that those leave who go
   first (``slotshare``).  By the number ahead and one mean, three of five
@@ -29,10 +32,6 @@
   At the deadline itself its caller would be told that it may have run.
 - The refused are told when a slot is expected, spread over half of that
   time: all would otherwise come back as the burst that they were.
-
-Grounds for the figures: runs of one target vary by a factor of two, so
-their mean is no bound; ``MARGIN`` mean deviations are added where a refusal
-costs only another try, none where it ends the request.
 """
 
 import bisect
@@ -44,19 +43,16 @@
 from peridotpost.model import forwarding
 
 MARGIN = 1.5
-"""Mean deviations of a route's runs: nearly nine in ten end within.  With 12
-slots a target, callers are served alike between 1 and 2.5; with 6 slots,
-look-ups got .785 of their worth at 1 and .806 at 2, as one long run is a
-larger part of the wait."""
+"""Mean deviations of a route's runs, added where a refusal costs only another
+try."""
 RETURN_SPREAD = 0.5
 MIN_RETURN_S = 0.05
 MAX_RETURN_S = 5.0
 LEAST_RUN_SHARE = 0.5
-"""One in five runs takes less than half of the mean; below that a start
-is as good as lost."""
+"""Of the mean run; a run that has less time left before its deadline is not
+started."""
 LATE_SHARE = 0.25
-"""Late ones of a rank that wait, per slot: what some tens of milliseconds
-of idle slots serve."""
+"""Late ones of a rank that wait, per slot; one at least."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,13 +67,14 @@
 class Waiting:
     """A waiting order; the least one goes first.
 
+    :param due: its arrival and the whole objective of its route.
     :param number: of its arrival.
     :param run_s: the expected time of its run.
     """
 
     rank: int
     late: bool
-    objective: float
+    due: float
     number: int
     order: forwarding.Order = dataclasses.field(compare=False)
     run_s: float = dataclasses.field(compare=False)
@@ -98,6 +95,7 @@
         self.arrivals = 0
         self.times = runtimes.RunTimes()
         self.shares = slotshare.SlotShares()
+        self.objective_by_route: dict[str, float] = {}
 
     @property
     def load(self) -> float:
@@ -110,7 +108,7 @@
         """How long `order` waits if it comes now."""
         if self.running < self.slots:
             return 0.0
-        turn = slotshare.turn_of(order.rank, late, order.objective - now)
+        turn = slotshare.turn_of(order.rank, late, self._objective_s(order))
         slots = max(1, self.slots)
         next_s = self.running_work_s / max(1, self.running)
         work_s = next_s + self._work_ahead_s(order, late)
@@ -120,7 +118,7 @@
     def arrive(self, order: forwarding.Order, now: float) -> Verdict:
         """Decide on an order; it waits if the verdict does not name it."""
         order.received = now
-        self.times.came(order.route, order.objective - now)
+        self._came(order, now)
         if self.running < self.slots:
             if now >= order.deadline:
                 return Verdict([], [order])
@@ -187,10 +185,9 @@
     def _serve(self, first: Waiting, now: float, verdict: Verdict) -> None:
         """Start who is first, or move it back, or refuse it."""
         order = first.order
-        ends_at = now + self._least_s(order)
-        if ends_at > order.deadline:
+        if now + self._least_s(order) > order.deadline:
             verdict.refused.append(order)
-        elif first.late or ends_at <= order.objective:
+        elif first.late or self._ends_in_time(order, now):
             self._start(order, now, first.late)
             verdict.started.append(order)
         elif self._takes_late(order, now):
@@ -203,8 +200,7 @@
         order.run_s = self.times.expected_s(order.route)
         self.running += 1
         self.running_work_s += order.run_s
-        left_s = order.objective - order.received
-        turn = slotshare.turn_of(order.rank, late, left_s)
+        turn = slotshare.turn_of(order.rank, late, self._objective_s(order))
         self.shares.started(turn, order.run_s, now)
 
     def _wait(self, order: forwarding.Order, late: bool) -> None:
@@ -212,7 +208,7 @@
         entry = Waiting(
             order.rank,
             late,
-            order.objective,
+            self._due(order),
             self.arrivals,
             order,
             self.times.expected_s(order.route),
@@ -234,13 +230,30 @@
 
     def _work_ahead_s(self, order: forwarding.Order, late: bool) -> float:
         """Return the run times of all that waits and goes before."""
-        place = (order.rank, late, order.objective)
+        place = (order.rank, late, self._due(order))
         total_s = 0.0
         for one in self.waiting:
-            if (one.rank, one.late, one.objective) > place:
+            if (one.rank, one.late, one.due) > place:
                 break
             total_s += one.run_s
         return total_s
 
+    def _came(self, order: forwarding.Order, now: float) -> None:
+        """Note an arrival; the largest objective of a route is its whole."""
+        left_s = order.objective - now
+        self.times.came(order.route, left_s)
+        if left_s > self.objective_by_route.get(order.route, 0.0):
+            self.objective_by_route[order.route] = left_s
+
+    def _objective_s(self, order: forwarding.Order) -> float:
+        left_s = order.objective - order.received
+        return self.objective_by_route.get(order.route, left_s)
+
+    def _due(self, order: forwarding.Order) -> float:
+        return order.received + self._objective_s(order)
+
+    def _ends_in_time(self, order: forwarding.Order, now: float) -> bool:
+        return now + self.times.expected_s(order.route) <= order.objective
+
     def _least_s(self, order: forwarding.Order) -> float:
         return LEAST_RUN_SHARE * self.times.expected_s(order.route)
--- a/testing/test_slots_mixed.py
+++ b/testing/test_slots_mixed.py
@@ -174,14 +174,16 @@
         ahead = sum((one.rank, one.late) <= place for one in self.waiting)
         return (ahead + 1) * self.times.mean_s / self.slots
 
+    def _ends_in_time(self, order: forwarding.Order, now: float) -> bool:
+        """Start whatever may end in time, though most such runs do not."""
+        return now + self._least_s(order) <= order.objective
+
 
 class InOrderOfArrival(slots.SlotQueue):
     """Serves a rank in order of arrival."""
 
-    def _wait(self, order: forwarding.Order, late: bool) -> None:
-        objective, order.objective = order.objective, 0.0
-        super()._wait(order, late)
-        order.objective = objective
+    def _due(self, order: forwarding.Order) -> float:
+        return 0.0
 
 
 def queue_of(kind: type[slots.SlotQueue], count: int = 12) -> slots.SlotQueue:
