A large body goes to a busy target's host only when its guard takes it

Change: where a target may refuse (load over .7, or a second question), a body over 512 bytes stays at the ingress until the guard has taken the request.

--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -94,6 +94,9 @@
     :param inherited: what a request that comes first counts for as a
         repeat, 0 to 1; see ``decisions.budget``.
     :param call_failed: whether a call that its run made failed.
+    :param body_later: whether the body is sent only when the guard that takes
+        the request asks for it.
+    :param fetch_body: asks for a body that was not sent yet; None with one.
     :param may_move: whether another target would be asked if this one
         were given up now.
     """
@@ -119,6 +122,8 @@
     repeat: Repeat = Repeat.NONE
     inherited: float = 0.0
     call_failed: bool = False
+    body_later: bool = False
+    fetch_body: Callable[[], None] | None = None
     may_move: Callable[[], bool] = _never
 
     @property
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -24,6 +24,11 @@
 from peridotpost.proxy import requestlog
 
 NO_CONFIG_RETURN_S = 0.5
+SMALL_BODY = 512
+"""Bytes that go with each dispatch: no more than its head takes."""
+BUSY = 0.7
+"""Load from which a target may refuse, so that a large body waits until it
+is asked for."""
 NO_BUDGET_S = 0.5
 """How long no run is given up for a repeat after a guard had no budget."""
 POISON_RETURN_S = 30.0
@@ -242,6 +247,10 @@
         self, exchange: exchanges.Exchange, candidate: targetstate.Candidate
     ) -> forwarding.Order:
         message = exchange.message
+        may_refuse = (
+            len(exchange.tried) > 1
+            or candidate.load_now(deadlines.now()) > BUSY
+        )
         order = forwarding.Order(
             number=0,
             service=exchange.service,
@@ -261,6 +270,7 @@
             route=exchange.route.name,
             repeat=exchange.attempts.repeat,
             inherited=self._inherited(exchange),
+            body_later=may_refuse and len(message.body) > SMALL_BODY,
             may_move=lambda: self._may_move(exchange),
         )
         return order
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -21,6 +21,7 @@
     """A request for the receiver's target; see ``forwarding.Order``.
 
     :param inherited: in hundredths.
+    :param body_later: whether there is a body that is sent on demand.
     """
 
     number: int
@@ -38,6 +39,20 @@
     objective_ms: int
     repeat: int = 0
     inherited: int = 0
+    body_later: bool = False
+
+
+class BodyWanted(msgspec.Struct, array_like=True, tag=18):
+    """The guard takes a dispatch that came without its body."""
+
+    number: int
+
+
+class Body(msgspec.Struct, array_like=True, tag=19):
+    """The body of a dispatch that was sent without it."""
+
+    number: int
+    body: bytes
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=2):
@@ -235,6 +250,8 @@
     | Known
     | ReleaseTold
     | ReleaseReport
+    | BodyWanted
+    | Body
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -72,6 +72,7 @@
         self.running: dict[forwarding.Order, upstream.TargetConnection] = {}
         self.running_by_attempt: dict[bytes, forwarding.Order] = {}
         self.opening: dict[forwarding.Order, asyncio.Task[None]] = {}
+        self.bodiless: set[forwarding.Order] = set()
         self.expiries: dict[forwarding.Order, int] = {}
         self.reach = reachability.Reachability(self, log)
         self.failures = failures.FailureShare()
@@ -84,7 +85,8 @@
 
     @property
     def in_flight(self) -> int:
-        return len(self.running) + len(self.opening) + len(self.queue.waiting)
+        started = len(self.running) + len(self.opening) + len(self.bodiless)
+        return started + len(self.queue.waiting)
 
     def status(self) -> instances.TargetStatus:
         known = self.instances.current
@@ -141,7 +143,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether the target runs nothing for this guard."""
-        return not self.running and not self.opening
+        return not (self.running or self.opening or self.bodiless)
 
     def stop_taking(self) -> None:
         """Take no work any more; what runs ends."""
@@ -171,14 +173,29 @@
         verdict = self.queue.arrive(order, now)
         if not verdict.started and not verdict.refused:
             self._expire_at(self.queue.hopeless_at(order), order)
+        if order.fetch_body is not None and not verdict.refused:
+            order.fetch_body()
         self._apply(verdict)
 
+    def body_came(self, order: forwarding.Order, body: bytes) -> None:
+        """Take the body of an order that came without it."""
+        order.body = body
+        order.fetch_body = None
+        if order not in self.bodiless:
+            return
+        if self.expects_target():
+            self.bodiless.discard(order)
+            self._start(order)
+        else:
+            self._abort(order)
+            order.settle(forwarding.Refused(forwarding.Refusal.LEAVING))
+
     def cancel(self, order: forwarding.Order) -> None:
         """Take back an order; settles it as not run if it still waits."""
         if order.settled:
             return
         connection = self.running.get(order)
-        if connection is None and order not in self.opening:
+        if connection is None and not self._is_starting(order):
             self.queue.withdraw(order)
             self._forget(order)
             order.settle(forwarding.Refused(forwarding.Refusal.WITHDRAWN))
@@ -256,8 +273,15 @@
             at, order, lambda: self._expired(order)
         )
 
+    def _is_starting(self, order: forwarding.Order) -> bool:
+        """Whether an order has a slot and was not sent yet."""
+        return order in self.opening or order in self.bodiless
+
     def _start(self, order: forwarding.Order) -> None:
         self._expire_at(order.deadline + DEADLINE_SLACK_S, order)
+        if order.fetch_body is not None:
+            self.bodiless.add(order)
+            return
         now = deadlines.now()
         connection = self.idle.take(now, not order.idempotent)
         if connection is not None:
@@ -428,7 +452,7 @@
         self.expiries.pop(order, None)
         if order.settled:
             return
-        if order not in self.running and order not in self.opening:
+        if order not in self.running and not self._is_starting(order):
             self.queue.withdraw(order)
             return_s = self.queue.return_s(order, deadlines.now())
             self._log_declined(order, return_s)
@@ -447,8 +471,10 @@
     def _abort(self, order: forwarding.Order) -> None:
         """Stop a run or a connection attempt; frees its slot."""
         task = self.opening.pop(order, None)
-        if task is not None:
-            task.cancel()
+        if task is not None or order in self.bodiless:
+            if task is not None:
+                task.cancel()
+            self.bodiless.discard(order)
             self._forget(order)
             self._apply(self.queue.release(order, deadlines.now()))
             return
--- a/src/peridotpost/proxy/orders.py
+++ b/src/peridotpost/proxy/orders.py
@@ -23,7 +23,7 @@
         order.method,
         order.target,
         order.head,
-        order.body,
+        b'' if order.body_later else order.body,
         order.idempotent,
         order.last,
         order.rank,
@@ -31,6 +31,7 @@
         int((order.objective - now) * MS_IN_S),
         int(order.repeat),
         round(order.inherited * 100),
+        order.body_later,
     )
 
 
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -195,6 +195,13 @@
             self._settle(
                 lost.number, forwarding.Lost(lost.detail, lost.crashed)
             )
+        elif kind is frames.BodyWanted:
+            self._body_wanted(cast(frames.BodyWanted, frame).number)
+        elif kind is frames.Body:
+            body = cast(frames.Body, frame)
+            wanting = self.received.get(body.number)
+            if wanting is not None:
+                self.guard.body_came(wanting, body.body)
         elif kind is frames.Cancel:
             order = self.received.get(cast(frames.Cancel, frame).number)
             if order is not None:
@@ -233,9 +240,16 @@
             self._reply(told, outcome)
 
         order = orders.order_of(told, now, done)
+        if told.body_later:
+            order.fetch_body = lambda: self.send(frames.BodyWanted(number))
         self.received[number] = order
         self.guard.submit(order)
 
+    def _body_wanted(self, number: int) -> None:
+        order = self.sent.get(number)
+        if order is not None:
+            self.send(frames.Body(number, order.body))
+
     def _reply(
         self, told: frames.Dispatch, outcome: forwarding.Outcome
     ) -> None:
--- /dev/null
+++ b/testing/test_proxy_bodies.py
@@ -0,0 +1,131 @@
+"""Bodies that go to a busy target's host only once its guard takes them."""
+
+import asyncio
+
+import pytest
+
+from peridotpost.proxy import forwarder
+from peridotpost.proxy import frames
+from peridotpost.proxy import peers
+from testing import conditions
+from testing import proxies
+
+BODY = b'x' * 4000
+
+
+@pytest.fixture
+def sent(monkeypatch: pytest.MonkeyPatch) -> list[frames.Frame]:
+    """Frames that any daemon sends from here on."""
+    found: list[frames.Frame] = []
+    send = peers.PeerStream.send
+
+    def note(stream: peers.PeerStream, frame: frames.Frame) -> None:
+        found.append(frame)
+        send(stream, frame)
+
+    monkeypatch.setattr(peers.PeerStream, 'send', note)
+    return found
+
+
+@pytest.fixture
+def always_busy(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Every target may refuse, as far as an ingress knows."""
+    monkeypatch.setattr(forwarder, 'BUSY', -1.0)
+
+
+async def far_target(mesh: proxies.Mesh, slots: int = 1) -> proxies.Host:
+    """Return a host whose service has its target on another one."""
+    await mesh.kv.configure(proxies.config())
+    near = await mesh.add('a', service='vault')
+    far = await mesh.add('b', slots=slots)
+    await near.announce()
+    await far.announce()
+    await mesh.ready()
+    return near
+
+
+async def test_a_refused_request_costs_no_body_on_the_way(
+    sent: list[frames.Frame], always_busy: None
+) -> None:
+    """Under overload bodies of refused requests filled the links."""
+    async with proxies.running() as mesh:
+        near = await far_target(mesh)
+        far = mesh.hosts['b']
+        async with near.caller() as holding:
+            holding.send('/write/hold', method='POST', attempt='holds')
+            await far.worker.began.wait()
+            sent.clear()
+            answer = await near.ask(
+                '/write/ok',
+                method='POST',
+                attempt='w1',
+                body=BODY,
+                X_Deadline_Remaining_Ms='40',
+            )
+            assert answer.status == 503
+            assert not any(isinstance(one, frames.Body) for one in sent)
+            assert any(isinstance(one, frames.Dispatch) for one in sent)
+            far.worker.release.set()
+            await holding.receive()
+
+
+async def test_a_body_that_comes_on_demand_arrives_whole(
+    sent: list[frames.Frame], always_busy: None
+) -> None:
+    async with proxies.running() as mesh:
+        near = await far_target(mesh)
+        answer = await near.ask(
+            '/write/ok', method='POST', attempt='w1', body=BODY
+        )
+        assert answer.status == 200
+        (run,) = mesh.hosts['b'].worker.runs
+        assert run.body == BODY
+        dispatched = [one for one in sent if isinstance(one, frames.Dispatch)]
+        assert [one.body for one in dispatched] == [b'']
+
+
+@pytest.mark.parametrize('ends', ['caller leaves', 'target drains'])
+async def test_a_slot_that_waits_for_a_body_is_given_back(
+    ends: str, always_busy: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The body is held up on the way; its request has a slot already."""
+    held: list[tuple[peers.PeerStream, int]] = []
+    wanted = peers.PeerStream._body_wanted
+    monkeypatch.setattr(
+        peers.PeerStream,
+        '_body_wanted',
+        lambda stream, number: held.append((stream, number)),
+    )
+    async with proxies.running() as mesh:
+        near = await far_target(mesh)
+        far = mesh.hosts['b']
+        async with near.caller() as caller:
+            caller.send('/write/ok', method='POST', attempt='w1', body=BODY)
+            await conditions.until(lambda: bool(held))
+            assert far.proxy.guard.queue.running == 1
+            assert not far.proxy.guard.is_idle
+            if ends == 'caller leaves':
+                caller.writer.close()
+            else:
+                await far.announce(state='draining')
+                wanted(*held[0])
+            await conditions.until(lambda: far.proxy.guard.is_idle)
+        assert far.proxy.guard.queue.running == 0
+        assert far.worker.runs == []
+
+
+async def test_bodies_go_at_once_to_a_target_with_room(
+    sent: list[frames.Frame],
+) -> None:
+    """Asked for first, each would cost a way there and back on calm days."""
+    async with proxies.running() as mesh:
+        near = await far_target(mesh, slots=20)
+        await asyncio.gather(
+            *(
+                near.ask(
+                    '/write/ok', method='POST', attempt=f'w{turn}', body=BODY
+                )
+                for turn in range(3)
+            )
+        )
+        assert not any(isinstance(one, frames.BodyWanted) for one in sent)
