Releases: a young daemon does not take its own target's version for the service's

The daemon beside a target of a new version starts with it and sees that target first; it took its version for the one in force and sent all its callers there until an order was read. For three seconds it goes by what most targets have. An heir compares the order's revision: durations lose a fraction of a millisecond on the streams, so a roll-back that was told might not be written.

--- a/src/peridotpost/decisions/releasesplit.py
+++ b/src/peridotpost/decisions/releasesplit.py
@@ -5,7 +5,8 @@
 once, the failures of a bad version with them.
 
 - Without an order, the version that a service's targets had first gets all
-  requests as long as one of these targets is ready.
+  requests as long as one of these targets is ready; to a daemon that just
+  started, the one that most of them have.
 - During a release the new version gets a request for each
   ``(1 - share) / share`` that the old one has run, counted by each ingress
   for its own requests.  The sum over any number of ingresses keeps the
@@ -24,6 +25,9 @@
 
 HOLD_S = 1.5
 """Three times the pause between two words of a coordinator."""
+SETTLED_S = 3.0
+"""By then a daemon has met the others.  Before, the version that it saw first
+may be that of its own target, which came to replace theirs."""
 MOST_CREDIT = 2.0
 """Requests that an ingress may hold back for the new version."""
 
@@ -48,6 +52,7 @@
 
     def __init__(self) -> None:
         self.releases: dict[str, _Release] = {}
+        self.started: float | None = None
         self.first_version: dict[str, str] = {}
 
     def offer(self, state: release.ReleaseState, now: float) -> bool:
@@ -126,6 +131,7 @@
         service: str,
         known: Collection[targetstate.Candidate],
         new: bool,
+        now: float,
     ) -> list[targetstate.Candidate]:
         """Return the targets that a request may go to.
 
@@ -133,7 +139,7 @@
         """
         state = self.state(service)
         if state is None:
-            return self._of_first_version(service, known)
+            return self._of_first_version(service, known, now)
         version = state.order.version
         stage = state.stage
         if state.banned:
@@ -149,7 +155,10 @@
         return focused or found
 
     def _of_first_version(
-        self, service: str, known: Collection[targetstate.Candidate]
+        self,
+        service: str,
+        known: Collection[targetstate.Candidate],
+        now: float,
     ) -> list[targetstate.Candidate]:
         first = self.first_version.get(service)
         found = [one for one in known if one.version == first]
@@ -158,7 +167,11 @@
         ready = [one for one in known if one.ready]
         if not ready:
             return found
-        first = self.first_version[service] = _commonest(ready)
+        first = _commonest(ready)
+        if self.started is None:
+            self.started = now
+        if now - self.started >= SETTLED_S:
+            self.first_version[service] = first
         return [one for one in ready if one.version == first]
 
 
--- a/src/peridotpost/mesh/releasecoordinator.py
+++ b/src/peridotpost/mesh/releasecoordinator.py
@@ -120,7 +120,9 @@
         """Write a roll-back whose coordinator ended before it did."""
         while not tasks.cancelled():
             state = self._heard()
-            if state is None or state.order != self.order:
+            if state is None:
+                return
+            if state.order.revision != self.order.revision:
                 return
             if state.stage is not release.Stage.ROLLED_BACK:
                 return
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -229,13 +229,14 @@
     ) -> list[targetstate.Candidate]:
         """Return the targets of the version that the request goes to."""
         service = exchange.service
+        now = deadlines.now()
         known = list(self.backends.candidates(service))
         if exchange.new_version:
-            found = self.releases.allowed(service, known, new=True)
+            found = self.releases.allowed(service, known, True, now)
             if any(self._may_try(exchange, one) for one in found):
                 return found
             exchange.new_version = False
-        return self.releases.allowed(service, known, new=False)
+        return self.releases.allowed(service, known, False, now)
 
     @staticmethod
     def _may_try(
--- a/testing/test_releasesplit.py
+++ b/testing/test_releasesplit.py
@@ -45,21 +45,36 @@
     split: releasesplit.ReleaseSplit,
     new: bool = False,
     known: list[targetstate.Candidate] = KNOWN,
+    now: float = 100.0,
 ) -> str:
-    return ''.join(one.host for one in split.allowed('bonds', known, new))
+    found = split.allowed('bonds', known, new, now)
+    return ''.join(one.host for one in found)
+
+
+def settled() -> releasesplit.ReleaseSplit:
+    """Return what a daemon knows that met targets of v1 long ago."""
+    split = releasesplit.ReleaseSplit()
+    assert hosts(split, known=KNOWN[:2], now=0.0) == 'ab'
+    assert hosts(split, known=KNOWN[:2], now=50.0) == 'ab'
+    return split
 
 
 def test_without_an_order_a_new_version_gets_nothing() -> None:
     """Its targets start before the order is read; idle, they draw load."""
-    split = releasesplit.ReleaseSplit()
-    assert hosts(split, known=KNOWN[:2]) == 'ab'
-    assert hosts(split) == 'ab'
+    many = [*KNOWN, target('d', 'v2'), target('e', 'v2')]
+    assert hosts(settled(), known=many) == 'ab'
 
 
 def test_a_version_is_served_that_alone_is_left() -> None:
+    assert hosts(settled(), known=[target('c', 'v2')]) == 'c'
+
+
+def test_the_host_of_a_new_target_sends_to_the_old_ones() -> None:
+    """Its daemon starts with it and sees its own target first."""
     split = releasesplit.ReleaseSplit()
-    assert hosts(split, known=KNOWN[:2]) == 'ab'
-    assert hosts(split, known=[target('c', 'v2')]) == 'c'
+    assert hosts(split, known=[KNOWN[2]], now=0.0) == 'c'
+    assert hosts(split, now=0.5) == 'ab'
+    assert hosts(split, now=50.0) == 'ab'
 
 
 def test_the_share_holds_while_ingresses_come_and_go(
@@ -180,6 +195,5 @@
     split.offer(state(order=second, banned=banned), 0.0)
     assert hosts(split, known=[*KNOWN, target('e', 'v3')]) == 'ab'
     assert split.refuses('bonds', 'v2')
-    assert not split.banned(release.ReleaseOrder('bonds', 'v2', 12.0, 30)) or (
-        'v2' not in split.banned(release.ReleaseOrder('bonds', 'v2', 12.0, 30))
-    )
+    again = release.ReleaseOrder('bonds', 'v2', 12.0, 30)
+    assert split.banned(again) == ('v3',)
