--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -1,37 +1,23 @@
 """Which request runs on a target now, which waits, which is refused.
 
-Load pattern: at twice the usual traffic more requests come to a target
-than it has slots, of several routes that differ in urgency and in length,
-while half of the other targets ail.  Sent on as they come, they fill the
-target's own queue, where every one waits as long, urgent or not, and ends
-late.
+Load pattern: more requests come to a target than it has slots, of routes that
+differ in urgency and length, and callers that were refused come back.
 
 - The caller of this module is the only sender to its target, so slots are
-  counted exactly and nothing waits inside the target.
-- What waits is served by the rank that operators gave its route (0
-  first).  Within a rank those that still make their objective go first, by
-  arrival and the whole objective of their route: short calls that other
-  requests wait for do not stand behind requests that have half a second.
-  Those that will be late go after them.
-- A caller that was refused and comes again does not go ahead of fresh ones
-  for having less of its objective left.  Served at the brink, it would end
-  late and bring the next one to its brink.
+  counted exactly and nothing queues inside the target.
+- The order is by rank (0 first), then requests that still make their objective
+  before late ones, then by arrival and the whole objective of the route.  Short
+  calls so go before long requests of their rank, and callers that come back do
+  not go before fresh ones.
+- A request waits only if its answer is expected in time, by the work ahead of
+  it and the slots that more urgent routes leave (``slotshare``); else it is
+  refused, so that another target can be asked.  The last choice may wait as a
+  late one, a few of each rank at a time.
 - A slot that frees goes to a request whose mean run still ends in time.
-- A request waits only if its turn comes in time.  Its wait is the work
-  ahead of it, by route, over the part of the slots that those leave who go
-  first (``slotshare``).  By the number ahead and one mean, three of five
-  answers of a long route are late beside a short one; by work, one of six.
-  A first choice is refused once the answer would miss the objective, so
-  that another target is asked while that still helps; the last choice is
-  refused only when it can't make its deadline.
-- Of those that will be late only a few of each rank wait at a time.  In one
-  line for all ranks, late ones of the least urgent shut out calls that
-  could still be answered before the deadline of the request behind them.
-- One that can't make its deadline any more is refused the moment a slot
-  frees; where none does, as soon as what is left is too short for a run.
-  At the deadline itself its caller would be told that it may have run.
-- The refused are told when a slot is expected, spread over half of that
-  time: all would otherwise come back as the burst that they were.
+- A request that can't make its deadline is refused when a slot frees, or as
+  soon as too little time for a run is left: at the deadline itself its caller
+  would have to be told that it may have run.
+- The refused are told when a slot is expected, spread over time.
 """
 
 import bisect
