Releases: an end that was tried is not rolled back, nor overwritten by who leads next

Found by reading: a write of 'completed' whose answer is lost may stand, and the old targets are stopped by it; a verdict after that must not send requests back to them. A coordinator that claims after another one read and ended the release wrote 'running' over the end; the status is read again under the claim.

--- a/src/peridotpost/decisions/verdict.py
+++ b/src/peridotpost/decisions/verdict.py
@@ -27,6 +27,8 @@
 end of the one before, the first at ``FIRST_TIME_S``."""
 SLOW_BUCKETS = 3
 """Runs so many buckets above the old version's median are slow."""
+LEAST_SLOW_S = 0.02
+"""No run is slow that takes less: that is the time of busy processes."""
 THRESHOLD = 8.0
 """Of a sum: a good version reaches it in fewer than one of a thousand
 releases of some hundred runs."""
@@ -180,7 +182,8 @@
     if usual_timed < LEAST_OLD_RUNS:
         # There is no bound yet to tell slow runs by.
         return 0, 0, USUAL_SLOW
-    bound = _median(usual.by_time, usual_timed) + SLOW_BUCKETS
+    median = _median(usual.by_time, usual_timed)
+    bound = max(median + SLOW_BUCKETS, bucket_of(LEAST_SLOW_S))
     share = _above(usual.by_time, bound) / usual_timed
     timed = sum(fresh.by_time.values())
     return _above(fresh.by_time, bound), timed, share
--- a/src/peridotpost/mesh/releasecoordinator.py
+++ b/src/peridotpost/mesh/releasecoordinator.py
@@ -93,10 +93,12 @@
         self.feed = feed
         self.randomness = randomness
         self.log = log
+        # When the order was given, as far as this daemon knows.
         self.seen = deadlines.now()
         self.epoch = 0
         self.number = 0
         self.renewed = 0.0
+        self.completing = False
         self.banned = fleet.split.banned(order)
 
     async def run(self) -> None:
@@ -128,18 +130,11 @@
                 return
             await asyncio.sleep(CLAIM_AGAIN_S * (1 + self.randomness.random()))
             try:
-                if await self._is_written() or await self._write_as_heir():
+                if await self._adopts_end() or await self._write_as_heir():
                     return
             except errors.StoreError as error:
                 self._not_written(error)
 
-    async def _is_written(self) -> bool:
-        """Whether the store holds a final status of this order."""
-        status = await self.feed.read_status(self.order.service)
-        if status.stage is None or status.revision < self.order.revision:
-            return False
-        return status.stage.is_final
-
     async def _write_as_heir(self) -> bool:
         """Claim the lead just to write the roll-back."""
         async with self._claimed() as claimed:
@@ -168,15 +163,11 @@
         return deadlines.now() - heard_at < CLAIM_AGAIN_S
 
     async def _claim_and_lead(self) -> None:
-        status = await self.feed.read_status(self.order.service)
-        stage = status.stage
-        if stage is not None and stage.is_final:
-            is_this = status.version == self.order.version
-            if is_this and status.revision > self.order.revision:
-                self._tell(stage, 0.0, '')
-                return
+        if await self._adopts_end():
+            return
         async with self._claimed() as claimed:
-            if claimed:
+            # Who led before may have ended the release since it was read.
+            if claimed and not await self._adopts_end():
                 self.log.state(
                     'release',
                     service=self.order.service,
@@ -186,6 +177,17 @@
                 )
                 await self._decide()
 
+    async def _adopts_end(self) -> bool:
+        """Tell of the release's end if the store holds one."""
+        status = await self.feed.read_status(self.order.service)
+        if status.stage is None or not status.stage.is_final:
+            return False
+        is_this = status.version == self.order.version
+        if not is_this or status.revision < self.order.revision:
+            return False
+        self._tell(status.stage, 0.0, '')
+        return True
+
     @contextlib.asynccontextmanager
     async def _claimed(self) -> AsyncIterator[bool]:
         """Hold the lead, if no other daemon does."""
@@ -238,11 +240,13 @@
         while self.epoch and not self._is_over():
             now = deadlines.now()
             view = self._view()
-            plan.step(view, now)
-            if plan.is_drained(view) and await self._write(
-                release.Stage.COMPLETED
-            ):
-                plan.complete(now)
+            if not self.completing:
+                plan.step(view, now)
+            if plan.is_drained(view):
+                # Its answer may be lost, and the old targets be stopped.
+                self.completing = True
+                if await self._write(release.Stage.COMPLETED):
+                    plan.complete(now)
             share, focus = plan.share(now), plan.focus(view, now)
             news = (plan.stage, share, focus)
             if news != told or now - told_at >= TELL_S:
@@ -256,12 +260,12 @@
         """Return a plan that goes on where the one before had come to."""
         now = deadlines.now()
         state = self._heard()
-        started, stage = self.seen, release.Stage.CANARY
+        stage = release.Stage.CANARY
         if state is not None:
-            started = min(started, now - state.elapsed_s)
+            self.seen = min(self.seen, now - state.elapsed_s)
             stage = state.stage
         return releaseplan.ReleasePlan(
-            self.order, self.fleet.exposure, started, now, stage
+            self.order, self.fleet.exposure, self.seen, now, stage
         )
 
     def _view(self) -> releaseplan.FleetView:
--- a/testing/test_verdict.py
+++ b/testing/test_verdict.py
@@ -108,6 +108,20 @@
         assert judge.judge({'r': old}, {'r': new}) is None, tick
 
 
+def test_a_busy_process_is_not_a_slow_version() -> None:
+    """Runs of 2 ms take 8 on a new target that gets all requests at once."""
+    randomness = random.Random(3)
+    judge = verdict.Verdict()
+    old, new = release.RouteRuns(), release.RouteRuns()
+    usual = releaseload.Behaviour(work_s=0.002)
+    busy = releaseload.Behaviour(work_s=0.004)
+    for tick in range(120):
+        for _ in range(OLD_RATE):
+            releaseload.run(old, usual, 0.0, True, randomness)
+            releaseload.run(new, busy, 0.0, True, randomness)
+        assert judge.judge({'r': old}, {'r': new}) is None, tick
+
+
 @pytest.mark.parametrize(
     ('run_s', 'bucket'),
     [
