--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -5,18 +5,18 @@
 
 - The caller of this module is the only sender to its target, so slots are
   counted exactly and nothing queues inside the target.
-- The order is by rank (0 first), then requests that still make their objective
-  before late ones, then by arrival and the whole objective of the route.  Short
-  calls so go before long requests of their rank, and callers that come back do
-  not go before fresh ones.
-- A request waits only if its answer is expected in time, by the work ahead of
-  it and the slots that more urgent routes leave (``slotshare``); else it is
-  refused, so that another target can be asked.  The last choice may wait as a
-  late one, a few of each rank at a time.
+- The order is by rank (0 first), then requests that still make their
+  objective before late ones, then by arrival and the whole objective of the
+  route.  Short calls so go before long requests of their rank, and callers
+  that come back do not go before fresh ones.
+- A request waits only if its answer is expected in time, by the work ahead
+  of it and the slots that more urgent routes leave (``slotshare``); else it
+  is refused, so that another target can be asked.  The last choice may wait
+  as a late one, a few of each rank at a time.
 - A slot that frees goes to a request whose mean run still ends in time.
 - A request that can't make its deadline is refused when a slot frees, or as
-  soon as too little time for a run is left: at the deadline itself its caller
-  would have to be told that it may have run.
+  soon as too little time for a run is left: at the deadline itself its
+  caller would have to be told that it may have run.
 - The refused are told when a slot is expected, spread over time.
 """
 
