Names of releases in the field's terms: update, successor, canary, service's targets

Read as a newcomer: words such as told, heard, heir and bodiless stood for updates, known releases, the next coordinator and requests that await their body.

--- a/bench/releases.py
+++ b/bench/releases.py
@@ -183,7 +183,7 @@
     route = randomness.choices(list(ROUTES), list(ROUTES.values()))[0]
     state = ingress.state('bonds')
     done = state is not None and state.stage is release.Stage.COMPLETED
-    to_new = done or ingress.draws_new('bonds', now)
+    to_new = done or ingress.takes_canary('bonds', now)
     counted = now < DURATION_S
     outcome.total += counted
     if not to_new:
--- a/src/peridotpost/calls/connections.py
+++ b/src/peridotpost/calls/connections.py
@@ -107,7 +107,7 @@
         self.size = 0
         self.finished = False
         self.too_large = False
-        self.bodiless = False
+        self.awaiting_body = False
         self.unbounded = False
 
     def headers_received(
@@ -119,7 +119,7 @@
         self.start = start_line
         self.headers = headers
         length = headers.get('Content-Length', '')
-        self.bodiless = (
+        self.awaiting_body = (
             'content-length' not in self.dropped
             or start_line.code in (204, 304)
             or start_line.code < 200
@@ -127,10 +127,10 @@
         # Without a length the end of the body is the end of the
         # connection, which a target that dies in the middle looks like.
         self.unbounded = not (
-            self.bodiless or length or 'Transfer-Encoding' in headers
+            self.awaiting_body or length or 'Transfer-Encoding' in headers
         )
         self.too_large = (
-            not self.bodiless
+            not self.awaiting_body
             and length.isdigit()
             and (len(length) > MAX_DIGITS or int(length) > self.limit)
         )
--- a/src/peridotpost/calls/requests.py
+++ b/src/peridotpost/calls/requests.py
@@ -205,14 +205,17 @@
         headers[guards.REQUEST_ID_HEADER] = request_id
         if self.owner.leaving:
             headers['Connection'] = 'close'
-        bodiless = self.start.method == 'HEAD' or answer.status in (204, 304)
-        if not bodiless:
+        awaiting_body = self.start.method == 'HEAD' or answer.status in (
+            204,
+            304,
+        )
+        if not awaiting_body:
             headers['Content-Length'] = str(len(answer.body))
         line = httputil.ResponseStartLine(
             'HTTP/1.1', answer.status, answer.reason
         )
         written = self.connection.write_headers(
-            line, headers, answer.body if not bodiless else None
+            line, headers, answer.body if not awaiting_body else None
         )
         self.connection.finish()
         return written
--- a/src/peridotpost/decisions/releasesplit.py
+++ b/src/peridotpost/decisions/releasesplit.py
@@ -24,7 +24,7 @@
 from peridotpost.model import release
 
 HOLD_S = 1.5
-"""Three times the pause between two words of a coordinator."""
+"""Three times the pause between two updates of a coordinator."""
 SETTLED_S = 3.0
 """By then a daemon has met the others.  Before, the version that it saw first
 may be that of its own target, which came to replace theirs."""
@@ -36,7 +36,7 @@
 class _Release:
     """A release as this daemon knows it.
 
-    :param heard: when the coordinator's last word came.
+    :param heard: when the coordinator's last update came.
     :param started: when the order was given, by this process's clock.
     :param credit: requests that may go to the new version.
     """
@@ -56,7 +56,7 @@
         self.first_version: dict[str, str] = {}
 
     def offer(self, state: release.ReleaseState, now: float) -> bool:
-        """Take a coordinator's word; return whether it is news."""
+        """Take a coordinator's update; return whether it is news."""
         service = state.order.service
         known = self.releases.get(service)
         before = known.state if known is not None else None
@@ -92,7 +92,7 @@
         known = self.releases.get(service)
         return known.heard if known is not None else 0.0
 
-    def draws_new(self, service: str, now: float) -> bool:
+    def takes_canary(self, service: str, now: float) -> bool:
         """Whether the next request goes to the new version; takes credit."""
         known = self.releases.get(service)
         if known is None or known.state.stage.is_final:
--- a/src/peridotpost/decisions/verdict.py
+++ b/src/peridotpost/decisions/verdict.py
@@ -30,8 +30,7 @@
 LEAST_SLOW_S = 0.02
 """No run is slow that takes less: that is the time of busy processes."""
 THRESHOLD = 8.0
-"""Of a sum: a good version reaches it in fewer than one of a thousand
-releases of some hundred runs."""
+"""Of a sum, in natural units of the likelihood ratio."""
 LEAST_OLD_RUNS = 30
 USUAL_FAILED = 0.02
 USUAL_SLOW = 0.1
--- a/src/peridotpost/mesh/releasecoordinator.py
+++ b/src/peridotpost/mesh/releasecoordinator.py
@@ -23,8 +23,8 @@
 from peridotpost.proxy import deadlines
 
 TICK_S = 0.1
-TELL_S = 0.5
-"""Pause between two words of a coordinator while nothing changes."""
+ANNOUNCE_S = 0.5
+"""Pause between two updates of a coordinator while nothing changes."""
 LEASE_S = 2.0
 RENEW_S = 0.6
 STORE_SILENT_S = 1.3
@@ -32,12 +32,12 @@
 FIRST_CLAIM_S = 0.15
 """Most that a daemon waits before it claims; all read an order at once."""
 CLAIM_AGAIN_S = 2.5
-"""Without a word of a coordinator for so long, another one is needed."""
+"""Without an update of a coordinator for so long, another one is needed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Known:
-    """What a daemon knows of a service's targets; see ``FleetView``."""
+class ServiceTargets:
+    """The targets of a service; see ``releaseplan.FleetView``."""
 
     reports: list[release.TargetReport]
     new_hosts: list[str]
@@ -51,27 +51,27 @@
     own: release.TargetReport
 
     @property
-    def split(self) -> 'Heard':
+    def split(self) -> 'KnownReleases':
         """What was heard of releases."""
 
     def offer(self, state: release.ReleaseState) -> bool:
         """Keep to a state on this daemon."""
 
-    def tell(self, state: release.ReleaseState) -> None:
-        """Tell it to all others."""
+    def broadcast(self, state: release.ReleaseState) -> None:
+        """Send it to all other daemons."""
 
-    def view(self, order: release.ReleaseOrder) -> Known:
+    def view(self, order: release.ReleaseOrder) -> ServiceTargets:
         """Return what is known of the service's targets."""
 
 
-class Heard(Protocol):
+class KnownReleases(Protocol):
     """The releases that a daemon knows."""
 
     def state(self, service: str) -> release.ReleaseState | None:
         """Return the newest state of a service's release."""
 
     def heard_at(self, service: str) -> float:
-        """Return when a coordinator's last word came."""
+        """Return when the coordinator's last update came."""
 
     def banned(self, order: release.ReleaseOrder) -> tuple[str, ...]:
         """Return the versions that an order leaves without work."""
@@ -104,8 +104,8 @@
     async def run(self) -> None:
         """See to it that the release has a coordinator, until it is final."""
         await asyncio.sleep(FIRST_CLAIM_S * self.randomness.random())
-        while not tasks.cancelled() and not self._is_over():
-            if not self._is_led():
+        while not tasks.cancelled() and not self._has_ended():
+            if not self._has_coordinator():
                 try:
                     await self._claim_and_lead()
                 except errors.StoreError as error:
@@ -116,9 +116,9 @@
                         error=str(error),
                     )
             await asyncio.sleep(RENEW_S * (0.5 + self.randomness.random()))
-        await self._see_roll_back_written()
+        await self._ensure_roll_back_written()
 
-    async def _see_roll_back_written(self) -> None:
+    async def _ensure_roll_back_written(self) -> None:
         """Write a roll-back whose coordinator ended before it did."""
         while not tasks.cancelled():
             state = self._heard()
@@ -130,13 +130,16 @@
                 return
             await asyncio.sleep(CLAIM_AGAIN_S * (1 + self.randomness.random()))
             try:
-                if await self._adopts_end() or await self._write_as_heir():
+                if (
+                    await self._adopt_final_status()
+                    or await self._write_as_successor()
+                ):
                     return
             except errors.StoreError as error:
                 self._not_written(error)
 
-    async def _write_as_heir(self) -> bool:
-        """Claim the lead just to write the roll-back."""
+    async def _write_as_successor(self) -> bool:
+        """Claim the lead only to write the roll-back."""
         async with self._claimed() as claimed:
             return bool(claimed) and await self._write(
                 release.Stage.ROLLED_BACK
@@ -149,25 +152,25 @@
             return None
         return state
 
-    def _is_over(self) -> bool:
+    def _has_ended(self) -> bool:
         state = self._heard()
         if state is None:
             return False
         later = state.order.revision > self.order.revision
         return later or state.stage.is_final
 
-    def _is_led(self) -> bool:
+    def _has_coordinator(self) -> bool:
         if self._heard() is None:
             return False
         heard_at = self.fleet.split.heard_at(self.order.service)
         return deadlines.now() - heard_at < CLAIM_AGAIN_S
 
     async def _claim_and_lead(self) -> None:
-        if await self._adopts_end():
+        if await self._adopt_final_status():
             return
         async with self._claimed() as claimed:
             # Who led before may have ended the release since it was read.
-            if claimed and not await self._adopts_end():
+            if claimed and not await self._adopt_final_status():
                 self.log.state(
                     'release',
                     service=self.order.service,
@@ -177,7 +180,7 @@
                 )
                 await self._decide()
 
-    async def _adopts_end(self) -> bool:
+    async def _adopt_final_status(self) -> bool:
         """Tell of the release's end if the store holds one."""
         status = await self.feed.read_status(self.order.service)
         if status.stage is None or not status.stage.is_final:
@@ -185,7 +188,7 @@
         is_this = status.version == self.order.version
         if not is_this or status.revision < self.order.revision:
             return False
-        self._tell(status.stage, 0.0, '')
+        self._announce(status.stage, 0.0, '')
         return True
 
     @contextlib.asynccontextmanager
@@ -235,9 +238,9 @@
         """Take the release from stage to stage while this daemon leads."""
         plan = self._plan()
         await self._write(release.Stage.CANARY)
-        told_at = 0.0
-        told: tuple[release.Stage, float, str] | None = None
-        while self.epoch and not self._is_over():
+        announced_at = 0.0
+        announced: tuple[release.Stage, float, str] | None = None
+        while self.epoch and not self._has_ended():
             now = deadlines.now()
             view = self._view()
             if not self.completing:
@@ -249,9 +252,9 @@
                     plan.complete(now)
             share, focus = plan.share(now), plan.focus(view, now)
             news = (plan.stage, share, focus)
-            if news != told or now - told_at >= TELL_S:
-                self._tell(plan.stage, share, focus)
-                told_at, told = now, news
+            if news != announced or now - announced_at >= ANNOUNCE_S:
+                self._announce(plan.stage, share, focus)
+                announced_at, announced = now, news
             if plan.stage is release.Stage.ROLLED_BACK:
                 await self._roll_back(plan)
             await asyncio.sleep(TICK_S)
@@ -275,7 +278,9 @@
             known.reports, known.new_hosts, known.old_hosts, answers
         )
 
-    def _tell(self, stage: release.Stage, share: float, focus: str) -> None:
+    def _announce(
+        self, stage: release.Stage, share: float, focus: str
+    ) -> None:
         self.number += 1
         state = release.ReleaseState(
             order=self.order,
@@ -289,7 +294,7 @@
             banned=self.banned,
         )
         self.fleet.offer(state)
-        self.fleet.tell(state)
+        self.fleet.broadcast(state)
 
     async def _roll_back(self, plan: releaseplan.ReleasePlan) -> None:
         """Write a roll-back that the fleet was told of until it stands."""
--- a/src/peridotpost/mesh/releases.py
+++ b/src/peridotpost/mesh/releases.py
@@ -95,10 +95,12 @@
         self._follow_own_service()
         return True
 
-    def tell(self, state: release.ReleaseState) -> None:
-        self.directory.broadcast(orders.told_of(state))
+    def broadcast(self, state: release.ReleaseState) -> None:
+        self.directory.broadcast(orders.update_of(state))
 
-    def view(self, order: release.ReleaseOrder) -> releasecoordinator.Known:
+    def view(
+        self, order: release.ReleaseOrder
+    ) -> releasecoordinator.ServiceTargets:
         """Return what this daemon knows of the service's targets.
 
         A host whose target is not known yet may run an old one.
@@ -117,7 +119,9 @@
         reports = dict(self.reports.get((order.service, order.revision), {}))
         if self.own_revision == order.revision:
             reports[self.own.host] = self._own_report()
-        return releasecoordinator.Known(list(reports.values()), new, old)
+        return releasecoordinator.ServiceTargets(
+            list(reports.values()), new, old
+        )
 
     # Orders and words of others.
 
@@ -125,6 +129,9 @@
         known = self.split.state(order.service)
         if known is not None and known.order.revision >= order.revision:
             return
+        for key in list(self.reports):
+            if key[0] == order.service:
+                del self.reports[key]
         running = self.coordinating.get(order.service)
         if running is not None:
             running.cancel()
@@ -141,11 +148,11 @@
         if stream.dialled:
             return
         for known in self.split.releases.values():
-            stream.send(orders.told_of(known.state))
+            stream.send(orders.update_of(known.state))
 
     def _noticed(self, notice: directories.Notice) -> None:
         frame = notice.frame
-        if isinstance(frame, frames.ReleaseTold):
+        if isinstance(frame, frames.ReleaseUpdate):
             self.offer(orders.state_of(frame))
         elif isinstance(frame, frames.ReleaseReport):
             held = self.reports.setdefault((frame.service, frame.revision), {})
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -118,7 +118,7 @@
             exchange.patient_until = first.until
             exchange.objective -= exchange.started - first.at
         exchange.parent = self._parent(message)
-        exchange.new_version = self.releases.draws_new(
+        exchange.new_version = self.releases.takes_canary(
             service, exchange.started
         )
         exchange.head = bytes(message.head) + self.caller_head
@@ -282,8 +282,7 @@
         if not exchange.attempts.may_follow(now):
             return False
         others = any(
-            one.ready and one.host not in exchange.tried
-            for one in self._candidates(exchange)
+            self._may_try(exchange, one) for one in self._candidates(exchange)
         )
         no_budget_at = self.no_budget_at.get(exchange.service, -NO_BUDGET_S)
         return others and now - no_budget_at >= NO_BUDGET_S
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -193,8 +193,8 @@
     hosts: list[Hello]
 
 
-class ReleaseTold(msgspec.Struct, array_like=True, tag=16):
-    """A coordinator's word; see ``release.ReleaseState``.
+class ReleaseUpdate(msgspec.Struct, array_like=True, tag=16):
+    """A coordinator's update; see ``release.ReleaseState``.
 
     :param share: in ten-thousandths.
     """
@@ -213,7 +213,7 @@
     banned: list[str] = []
 
 
-class RouteTold(msgspec.Struct, array_like=True):
+class RouteCounts(msgspec.Struct, array_like=True):
     """Runs of one route; see ``release.RouteRuns``."""
 
     route: str
@@ -229,7 +229,7 @@
     revision: int
     version: str
     drained: bool
-    routes: list[RouteTold]
+    routes: list[RouteCounts]
 
 
 Frame = (
@@ -248,7 +248,7 @@
     | Ping
     | Pong
     | Known
-    | ReleaseTold
+    | ReleaseUpdate
     | ReleaseReport
     | BodyWanted
     | Body
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -72,7 +72,7 @@
         self.running: dict[forwarding.Order, upstream.TargetConnection] = {}
         self.running_by_attempt: dict[bytes, forwarding.Order] = {}
         self.opening: dict[forwarding.Order, asyncio.Task[None]] = {}
-        self.bodiless: set[forwarding.Order] = set()
+        self.awaiting_body: set[forwarding.Order] = set()
         self.expiries: dict[forwarding.Order, int] = {}
         self.reach = reachability.Reachability(self, log)
         self.failures = failures.FailureShare()
@@ -85,7 +85,9 @@
 
     @property
     def in_flight(self) -> int:
-        started = len(self.running) + len(self.opening) + len(self.bodiless)
+        started = (
+            len(self.running) + len(self.opening) + len(self.awaiting_body)
+        )
         return started + len(self.queue.waiting)
 
     def status(self) -> instances.TargetStatus:
@@ -143,7 +145,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether the target runs nothing for this guard."""
-        return not (self.running or self.opening or self.bodiless)
+        return not (self.running or self.opening or self.awaiting_body)
 
     def stop_taking(self) -> None:
         """Take no work any more; what runs ends."""
@@ -181,10 +183,10 @@
         """Take the body of an order that came without it."""
         order.body = body
         order.fetch_body = None
-        if order not in self.bodiless:
+        if order not in self.awaiting_body:
             return
         if self.expects_target():
-            self.bodiless.discard(order)
+            self.awaiting_body.discard(order)
             self._start(order)
         else:
             self._abort(order)
@@ -275,12 +277,12 @@
 
     def _is_starting(self, order: forwarding.Order) -> bool:
         """Whether an order has a slot and was not sent yet."""
-        return order in self.opening or order in self.bodiless
+        return order in self.opening or order in self.awaiting_body
 
     def _start(self, order: forwarding.Order) -> None:
         self._expire_at(order.deadline + DEADLINE_SLACK_S, order)
         if order.fetch_body is not None:
-            self.bodiless.add(order)
+            self.awaiting_body.add(order)
             return
         now = deadlines.now()
         connection = self.idle.take(now, not order.idempotent)
@@ -471,10 +473,10 @@
     def _abort(self, order: forwarding.Order) -> None:
         """Stop a run or a connection attempt; frees its slot."""
         task = self.opening.pop(order, None)
-        if task is not None or order in self.bodiless:
+        if task is not None or order in self.awaiting_body:
             if task is not None:
                 task.cancel()
-            self.bodiless.discard(order)
+            self.awaiting_body.discard(order)
             self._forget(order)
             self._apply(self.queue.release(order, deadlines.now()))
             return
--- a/src/peridotpost/proxy/orders.py
+++ b/src/peridotpost/proxy/orders.py
@@ -130,10 +130,10 @@
     )
 
 
-def told_of(state: release.ReleaseState) -> frames.ReleaseTold:
+def update_of(state: release.ReleaseState) -> frames.ReleaseUpdate:
     """Return the frame that tells a coordinator's state."""
     order = state.order
-    return frames.ReleaseTold(
+    return frames.ReleaseUpdate(
         order.service,
         order.version,
         order.revision,
@@ -149,7 +149,7 @@
     )
 
 
-def state_of(told: frames.ReleaseTold) -> release.ReleaseState:
+def state_of(told: frames.ReleaseUpdate) -> release.ReleaseState:
     """Return the state that a frame tells."""
     order = release.ReleaseOrder(
         told.service,
@@ -180,7 +180,7 @@
         report.version,
         report.drained,
         [
-            frames.RouteTold(route, one.runs, one.failed, one.by_time)
+            frames.RouteCounts(route, one.runs, one.failed, one.by_time)
             for route, one in report.by_route.items()
         ],
     )
--- a/testing/test_experiment.py
+++ b/testing/test_experiment.py
@@ -166,7 +166,7 @@
         pass
 
 
-def test_a_policy_is_over_when_its_run_is() -> None:
+def test_a_policy_has_ended_when_its_run_is() -> None:
     before = selection.WORTH_CROSSING
     with policies.replaced({'selection.WORTH_CROSSING': 0.9}):
         assert selection.WORTH_CROSSING == 0.9
--- a/testing/test_releasecoordinator.py
+++ b/testing/test_releasecoordinator.py
@@ -70,10 +70,12 @@
     def offer(self, state: release.ReleaseState) -> bool:
         return self.split.offer(state, deadlines.now())
 
-    def tell(self, state: release.ReleaseState) -> None:
+    def broadcast(self, state: release.ReleaseState) -> None:
         self.told.append(state.stage)
 
-    def view(self, order: release.ReleaseOrder) -> releasecoordinator.Known:
+    def view(
+        self, order: release.ReleaseOrder
+    ) -> releasecoordinator.ServiceTargets:
         tried = any(stage.is_final for stage in self.feed.written)
         old = release.RouteRuns(1000, 10, {10: 1000})
         new = release.RouteRuns(200, 150 if tried else 0, {10: 200})
@@ -81,7 +83,7 @@
             release.TargetReport('a', 'v1', True, {'r': old}),
             release.TargetReport('b', 'v2', False, {'r': new}),
         ]
-        return releasecoordinator.Known(reports, ['b'], ['a'])
+        return releasecoordinator.ServiceTargets(reports, ['b'], ['a'])
 
 
 @pytest.fixture(autouse=True)
