Log what targets state about themselves, count what they get

Change: the adapter names two headers of answers; decisions/advertisedlimit.py says which limit is in force, proxy/targetadverts.py logs its changes (event advertised) and invalid values; counters target.requests, target.limit-changes and target.invalid-statements, gauge target_limit_per_second, limit_per_s on declined lines. A connection knows the incarnation it was opened to, so that a late answer of a predecessor says nothing about its successor. Nothing acts on any of it yet.

--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -83,6 +83,14 @@
         self.times = runtimes.RunTimes()
         self.shares = slotshare.SlotShares()
         self.objective_by_route: dict[str, float] = {}
+        self.limit_per_s: float | None = None
+
+    def set_limit(self, limit_per_s: float | None, now: float) -> None:
+        """Store the rate limit of the target, in requests per second.
+
+        :param limit_per_s: None if it has no limit.
+        """
+        self.limit_per_s = limit_per_s
 
     @property
     def load(self) -> float:
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -231,6 +231,12 @@
         yield gauge('target_running', 'Requests it runs', queue.running)
         yield gauge('target_waiting', 'Requests queued', len(queue.waiting))
         yield gauge('target_run_seconds', 'Mean time of a run', mean_s)
+        limit_per_s = self.guard.adverts.limit.per_s
+        yield gauge(
+            'target_limit_per_second',
+            'Requests per second that it accepts; -1 without a limit',
+            -1.0 if limit_per_s is None else limit_per_s,
+        )
         in_flight = self.forwarder.in_flight
         yield gauge('requests_in_flight', 'Requests of callers', in_flight)
         stage = self.releases.own_stage()
--- a/src/peridotpost/model/instances.py
+++ b/src/peridotpost/model/instances.py
@@ -12,6 +12,18 @@
     GONE = 'gone'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One start of a target.
+
+    :param started_ms: start time, which distinguishes two starts with the
+        same id.
+    """
+
+    instance: str
+    started_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
     """A target's announcement of its own state.
@@ -34,6 +46,10 @@
     version: str = ''
     cold_s: float = 0.0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        return Incarnation(self.instance, self.started_ms)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostRecord:
--- a/src/peridotpost/platform/headers.py
+++ b/src/peridotpost/platform/headers.py
@@ -18,5 +18,7 @@
     not_run=b'x-not-executed',
     instance=b'x-expected-instance',
     caller=b'x-caller-service',
+    rate_limit=b'server-limit',
+    leaving=b'server-leaving',
     parent_of=parent_of,
 )
--- a/src/peridotpost/proxy/client.py
+++ b/src/peridotpost/proxy/client.py
@@ -13,7 +13,9 @@
 from peridotpost.proxy import headernames
 from peridotpost.proxy import http1
 
-NO_HEADER_NAMES = headernames.HeaderNames(b'', b'', b'', b'', b'', b'')
+NO_HEADER_NAMES = headernames.HeaderNames(
+    b'', b'', b'', b'', b'', b'', b'', b''
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -26,6 +26,7 @@
 from peridotpost.proxy import headernames
 from peridotpost.proxy import http1
 from peridotpost.proxy import reachability
+from peridotpost.proxy import targetadverts
 from peridotpost.proxy import upstream
 
 FAILING_SHARE = 0.25
@@ -77,6 +78,7 @@
         self.awaiting_body: set[forwarding.Order] = set()
         self.expiries: dict[forwarding.Order, int] = {}
         self.reachability = reachability.Reachability(self, log)
+        self.adverts = targetadverts.TargetAdverts(counts, log)
         self.failures = failures.FailureRate()
         self.failing_reported_at = 0.0
         self.leaving = False
@@ -114,17 +116,12 @@
         before = self.instances.current
         if not self.instances.offer(announcement):
             return
-        is_new_instance = before is None or (
-            before.instance,
-            before.started_ms,
-        ) != (
-            announcement.instance,
-            announcement.started_ms,
-        )
-        if is_new_instance:
+        if before is None or before.incarnation != announcement.incarnation:
             self.idle.close()
             self.failures = failures.FailureRate()
             self.reachability.instance_replaced()
+            self.adverts.instance_replaced(announcement.incarnation)
+            self.queue.set_limit(None, deadlines.now())
             self.instance_header = (
                 self.header_names.instance
                 + b': '
@@ -279,6 +276,7 @@
             'running': queue.running,
             'waiting': len(queue.waiting),
             'slots': queue.slots,
+            'limit_per_s': queue.limit_per_s,
             'wait_ms': round(queue.expected_wait_s(order, now) * 1000),
             'run_ms': round(queue.times.expected_s(order.route) * 1000),
             'objective_ms': round((order.objective - now) * 1000),
@@ -353,6 +351,7 @@
                 order.settle(forwarding.Refused(forwarding.Refusal.TOO_LATE))
             return
         self.budget.sent(order.retry_cause, order.inherited_retry_weight, now)
+        self.counts.add('target.requests')
         if order.retry_cause:
             self.counts.add('requests.repeated')
         self.running[order] = connection
@@ -399,6 +398,8 @@
         self._clear_expiry(order)
         if connection is not None and connection.is_usable(now):
             self.idle.add(connection)
+        if connection is not None:
+            self._note_advertisement(connection, order, now)
         if isinstance(outcome, forwarding.TargetAnswer):
             verdict = self.queue.finish(order, now)
         else:
@@ -412,6 +413,21 @@
         done(outcome)
         self._apply_verdict(verdict)
 
+    def _note_advertisement(
+        self,
+        connection: upstream.TargetConnection,
+        order: forwarding.Order,
+        now: float,
+    ) -> None:
+        """Apply what the response to `order` states about the target."""
+        stated = connection.advertisement
+        if stated is None:
+            return
+        self.adverts.response_read(
+            connection.incarnation, stated, order.started, now
+        )
+        self.queue.set_limit(self.adverts.limit.per_s, now)
+
     def _record_outcome(self, outcome: forwarding.Outcome, now: float) -> None:
         if isinstance(outcome, forwarding.Refused):
             # The target did not run it, so its failure rate is unaffected.
@@ -453,10 +469,7 @@
         current = self.instances.current
         assert current is not None
         return await upstream.connect(
-            current.address,
-            current.port,
-            self.header_names,
-            self._connection_released,
+            current, self.header_names, self._connection_released
         )
 
     def adopt_connection(self, connection: upstream.TargetConnection) -> None:
--- a/src/peridotpost/proxy/headernames.py
+++ b/src/peridotpost/proxy/headernames.py
@@ -18,6 +18,9 @@
     :param not_run: set by a target that did not run the request.
     :param instance: incarnation of the target that is to run the request.
     :param caller: service on the host where the request originated.
+    :param rate_limit: requests per second that a target accepts from all
+        hosts together.
+    :param leaving: ``1`` in the responses of a target that is shutting down.
     :param parent_of: maps the attempt id of a call to that of the request
         whose run made it; empty if the id does not contain it.
     """
@@ -28,4 +31,6 @@
     not_run: bytes
     instance: bytes
     caller: bytes
+    rate_limit: bytes
+    leaving: bytes
     parent_of: Callable[[bytes], bytes] = _no_parent
--- a/src/peridotpost/proxy/http1.py
+++ b/src/peridotpost/proxy/http1.py
@@ -42,6 +42,9 @@
     :param head_bytes: size of all headers received.
     :param not_run: whether the target states that it did not run the request.
     :param signed: whether the response bears the target's signature header.
+    :param rate_limit: value of the rate limit header of a response.
+    :param leaving: value of the header by which a target says that it is
+        shutting down.
     :param framed: whether the headers delimit the body.
     :param host_header_count: number of ``Host`` headers.
     :param nominated_headers: header names listed in ``Connection``.
@@ -60,6 +63,8 @@
     not_run: bool = False
     signed: bool = False
     content_encoded: bool = False
+    rate_limit: bytes = b''
+    leaving: bytes = b''
     keep_alive: bool = True
     keep_alive_s: float | None = None
     expects_continue: bool = False
@@ -139,6 +144,10 @@
             message.not_run = True
         elif lower == b'content-encoding':
             message.content_encoded = True
+        elif lower == header_names.rate_limit:
+            message.rate_limit = _combine(message.rate_limit, value)
+        elif lower == header_names.leaving:
+            message.leaving = _combine(message.leaving, value)
         message.head += name + b': ' + value + b'\r\n'
 
     def _read_connection_header(self, lower: bytes, value: bytes) -> None:
@@ -175,6 +184,11 @@
         self.sink.message_read(message)
 
 
+def _combine(earlier: bytes, value: bytes) -> bytes:
+    """Join the values of a repeated header (RFC 9110, section 5.3)."""
+    return earlier + b', ' + value if earlier else value
+
+
 def _keep_alive_timeout_s(value: bytes) -> float | None:
     """Return the timeout in a ``Keep-Alive`` header, None if absent."""
     for part in value.lower().split(b','):
--- /dev/null
+++ b/src/peridotpost/proxy/targetadverts.py
@@ -0,0 +1,71 @@
+"""Follows what this host's target advertises in its responses."""
+
+from peridotpost.decisions import advertisedlimit
+from peridotpost.kernel import counters
+from peridotpost.kernel import jsonlog
+from peridotpost.model import advertisement
+from peridotpost.model import instances
+
+LIMIT_LOG_INTERVAL_S = 1.0
+"""Minimum interval between log lines about new values of a limit.  A line
+about its start or its end is always written."""
+
+
+class TargetAdverts:
+    """State advertised by one incarnation of the target after another."""
+
+    def __init__(
+        self, counts: counters.Counters, log: jsonlog.JsonLog
+    ) -> None:
+        self.counts = counts
+        self.log = log
+        self.incarnation: instances.Incarnation | None = None
+        self.limit = advertisedlimit.AdvertisedLimit()
+        self.leaving = False
+        self.value_logged_at = 0.0
+
+    def instance_replaced(self, incarnation: instances.Incarnation) -> None:
+        """Start anew for an incarnation that has announced itself."""
+        self.incarnation = incarnation
+        self.limit = advertisedlimit.AdvertisedLimit()
+        self.leaving = False
+
+    def response_read(
+        self,
+        incarnation: instances.Incarnation,
+        stated: advertisement.Advertisement,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Apply a response of an incarnation.
+
+        :param sent_at: when the request of the response was sent.
+        """
+        if incarnation != self.incarnation:
+            # A late response of a predecessor says nothing about this one.
+            return
+        if stated.invalid:
+            self.counts.add('target.invalid-statements')
+            self.log.request('invalid-statement', value=stated.invalid)
+        if stated.leaving and not self.leaving:
+            self.leaving = True
+            self._log('leaving')
+        before = self.limit.per_s
+        if self.limit.note(stated, sent_at, now):
+            self._log_limit(before, now)
+
+    def _log_limit(self, before: float | None, now: float) -> None:
+        self.counts.add('target.limit-changes')
+        limit_per_s = self.limit.per_s
+        if limit_per_s is None:
+            self._log('unlimited')
+            return
+        if before is not None:
+            if now - self.value_logged_at < LIMIT_LOG_INTERVAL_S:
+                return
+        self.value_logged_at = now
+        self._log('limited', limit_per_s=limit_per_s)
+
+    def _log(self, to: str, **fields: float) -> None:
+        instance = self.incarnation.instance if self.incarnation else ''
+        self.log.state('advertised', instance=instance, to=to, **fields)
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -7,7 +7,10 @@
 
 import httptools
 
+from peridotpost.model import advertisement
 from peridotpost.model import forwarding
+from peridotpost.model import instances
+from peridotpost.proxy import advertisements
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import headernames
 from peridotpost.proxy import http1
@@ -36,16 +39,22 @@
 class TargetConnection(asyncio.Protocol):
     """One connection that carries one request at a time.
 
+    :param incarnation: the target's incarnation when it was opened.
     :param on_release: called when a request ends or the connection is lost,
         with whether it was lost during a request.
+    :ivar advertisement: what the response to the latest request states about
+        the target; None before that response and if it states nothing.
     """
 
     def __init__(
         self,
         header_names: headernames.HeaderNames,
+        incarnation: instances.Incarnation,
         on_release: ReleaseCallback,
     ) -> None:
         self.header_names = header_names
+        self.incarnation = incarnation
+        self.advertisement: advertisement.Advertisement | None = None
         self.on_release = on_release
         self.order: forwarding.Order | None = None
         self.outcome: forwarding.Outcome | None = None
@@ -68,6 +77,7 @@
         assert self.transport is not None
         self.order = order
         self.outcome = None
+        self.advertisement = None
         self.transport.write(payload)
 
     def is_usable(self, now: float, non_idempotent: bool = False) -> bool:
@@ -123,6 +133,7 @@
             self.reusable = False
             return
         self.outcome = classify_response(message)
+        self.advertisement = advertisements.read(message, self.outcome)
         if message.keep_alive_s is not None:
             timeout_s = message.keep_alive_s
             self.idle_s = min(
@@ -239,19 +250,22 @@
 
 
 async def connect(
-    address: str,
-    port: int,
+    announced: instances.Announcement,
     header_names: headernames.HeaderNames,
     on_release: ReleaseCallback,
 ) -> TargetConnection:
-    """Open a connection to a target.
+    """Open a connection to an announced target.
 
     :raises OSError: it can't be reached; includes ``TimeoutError``.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         transport, protocol = await loop.create_connection(
-            lambda: TargetConnection(header_names, on_release), address, port
+            lambda: TargetConnection(
+                header_names, announced.incarnation, on_release
+            ),
+            announced.address,
+            announced.port,
         )
     sock = transport.get_extra_info('socket')
     if sock is not None:
--- a/src/peridotpost/reports/explanation.py
+++ b/src/peridotpost/reports/explanation.py
@@ -23,6 +23,7 @@
         'record',
         'member',
         'target',
+        'advertised',
         'crash',
         'settings',
         'stalled',
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -31,6 +31,7 @@
 
     ``sheds`` makes it reject all requests without running them.
     ``forced_action`` selects an action for every request, whatever its path.
+    ``limit`` and ``leaving`` are stated in all responses unless empty.
     ``dropped`` holds the requests whose sender closed the connection early.
     """
 
@@ -39,6 +40,8 @@
         self.slots = slots
         self.sheds = False
         self.forced_action = ''
+        self.limit = ''
+        self.leaving = ''
         self.runs: list[Request] = []
         self.rejected: list[Request] = []
         self.dropped: list[Request] = []
@@ -105,7 +108,8 @@
             self.rejected.append(request)
             writer.write(
                 b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n'
-                b'Content-Length: 0\r\n\r\n'
+                + self.statements().encode()
+                + b'Content-Length: 0\r\n\r\n'
             )
             return True
         self.runs.append(request)
@@ -136,12 +140,21 @@
         request.body = await reader.readexactly(length)
         return request
 
+    def statements(self) -> str:
+        """Return the header lines about the target itself."""
+        lines = ''
+        if self.limit:
+            lines += f'Server-Limit: {self.limit}\r\n'
+        if self.leaving:
+            lines += f'Server-Leaving: {self.leaving}\r\n'
+        return lines
+
     def render_response(
         self, request: Request, body: bytes = b'done'
     ) -> bytes:
         return (
             f'HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.attempt}\r\n'
-            f'X-Response-Signature: {self.instance}\r\n'
+            f'X-Response-Signature: {self.instance}\r\n{self.statements()}'
             f'Content-Length: {len(body)}\r\n\r\n'
         ).encode() + body
 
--- a/testing/test_platform_names.py
+++ b/testing/test_platform_names.py
@@ -14,7 +14,7 @@
     '|X-Response-Signature|X-Caller-Service|heartbeatAddress'
     '|kv-(key|txn|watch|range|lease|keep)|trafficSplit|appAddress'
     '|maxAttempts|targetLatencyMs|coldRemainingMs|instances[.]heartbeat'
-    '|/-/readiness|op/config',
+    '|/-/readiness|op/config|Server-Limit|Server-Leaving',
     re.IGNORECASE,
 )
 
