--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -98,6 +98,7 @@
     settings: border.ProxySettings
     proxy: daemon.ProxyDaemon
     worker: worker_standin.Worker
+    exit_stack: contextlib.AsyncExitStack
     sequence: int = 0
 
     @contextlib.asynccontextmanager
@@ -209,8 +210,28 @@
         adapter = self.exit_stack.enter_context(assembly.adapter_for(settings))
         log = jsonlog.JsonLog(name, self._log_descriptor(name))
         proxy = daemon.ProxyDaemon(settings, adapter, log)
-        await self.exit_stack.enter_async_context(proxy.running())
-        return Host(name, address, settings, proxy, worker)
+        exit_stack = contextlib.AsyncExitStack()
+        await self.exit_stack.enter_async_context(exit_stack)
+        await exit_stack.enter_async_context(proxy.running())
+        return Host(name, address, settings, proxy, worker, exit_stack)
+
+    async def restart_proxy(self, name: str) -> Host:
+        """Replace a proxy by a new process beside the same target.
+
+        The new one has other ports, and its target is not announced yet.
+        """
+        old = self.hosts[name]
+        await old.exit_stack.aclose()
+        new = await self.start_proxy(
+            name,
+            old.address,
+            old.settings.availability_zone,
+            old.settings.service,
+            old.worker,
+        )
+        new.sequence = old.sequence
+        self.hosts[name] = new
+        return new
 
     async def wait_ready(self, service: str = 'register') -> None:
         """Wait until every proxy routes to every announced target."""
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -20,6 +20,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    arrived_at: float = 0.0
 
     @property
     def attempt(self) -> str:
@@ -59,6 +60,10 @@
     def attempts(self) -> list[str]:
         return [one.attempt for one in self.runs]
 
+    def arrivals_since(self, at: float) -> int:
+        """Return how many requests arrived after a time of the loop."""
+        return sum(one.arrived_at > at for one in self.runs + self.rejected)
+
     def reset_connections_on_reuse(self) -> None:
         """Reset the current connections when they receive another request."""
         self.reset_on_next_request |= self.writers
@@ -309,7 +314,8 @@
     method, target, _ = first.split(' ')
     pairs = [line.partition(': ') for line in lines if line]
     headers = {name.lower(): value for name, _, value in pairs}
-    return Request(method, target, headers, b'')
+    arrived_at = asyncio.get_running_loop().time()
+    return Request(method, target, headers, b'', arrived_at)
 
 
 @contextlib.asynccontextmanager
