Guards keep the rate limits that targets name

What callers' targets saw: a target in need that named a limit of N requests a second in its answers went on getting all that its slots took (LIMIT: 639 in 4 s, allowed 207). Cause: a target was believed in what it announces, never in what its answers say of it. Change: the limit is a token bucket (decisions/ratelimit.py) in the slot queue of the target's guard. The guard is the only sender to its target, so the bucket holds for the sum over all hosts and all ways: own ingress, streams, queue, deferred bodies, retries. A request that would wait beyond its objective is refused at once, as when slots are full, and goes to another target; Retry-After counts the tokens ahead. The limit ends with an answer without it whose request was sent after the last that named it. A target gets .5/s at least, else the end of a limit of 0 would never be heard. One of its tests is replaced: its forty callers came one after the other and could all be served within their objectives; now they come at once to targets with forty slots.

--- a/src/peridotpost/decisions/slots.py
+++ b/src/peridotpost/decisions/slots.py
@@ -19,12 +19,15 @@
   soon as the time left is too short for a run.  At the deadline itself the
   caller would have to be told that the request may have run.
 - Refused callers are told when a slot is expected, with jitter.
+- A target that names a rate limit (``ratelimit``) has fewer usable slots, and
+  a free slot is taken only when the limit allows it.
 """
 
 import bisect
 import dataclasses
 import random
 
+from peridotpost.decisions import ratelimit
 from peridotpost.decisions import runtimes
 from peridotpost.decisions import slotshare
 from peridotpost.model import forwarding
@@ -67,6 +70,14 @@
     run_s: float = dataclasses.field(compare=False)
 
 
+@dataclasses.dataclass(slots=True)
+class QueuedWork:
+    """Number and expected run time of queued requests."""
+
+    requests: int = 0
+    work_s: float = 0.0
+
+
 class SlotQueue:
     """Slots of one target and the requests queued for them.
 
@@ -83,59 +94,92 @@
         self.times = runtimes.RunTimes()
         self.shares = slotshare.SlotShares()
         self.objective_by_route: dict[str, float] = {}
-        self.limit_per_s: float | None = None
+        self.limit = ratelimit.RateLimit()
+
+    @property
+    def limit_per_s(self) -> float | None:
+        """Requests per second that the target accepts; None: no limit."""
+        return self.limit.per_s
 
     def set_limit(self, limit_per_s: float | None, now: float) -> None:
-        """Store the rate limit of the target, in requests per second.
+        """Set the rate limit of the target; None if it has no limit.
 
-        :param limit_per_s: None if it has no limit.
+        Queued requests that may now start are returned by the next `fill`.
         """
-        self.limit_per_s = limit_per_s
+        self.limit.set(limit_per_s, now)
 
     @property
-    def load(self) -> float:
-        """Running and queued requests per slot."""
-        return (self.running + len(self.waiting)) / max(1, self.slots)
+    def usable_slots(self) -> float:
+        """Slots that are occupied at most, on average; at least one."""
+        if self.limit_per_s is None:
+            return max(1, self.slots)
+        by_limit = self.limit.rate_per_s * self.times.mean_s
+        return max(1.0, min(self.slots, by_limit))
+
+    def load(self, now: float) -> float:
+        """Return running and queued requests per usable slot.
+
+        A target that may get no request now is full, whatever it runs.
+        """
+        load = (self.running + len(self.waiting)) / self.usable_slots
+        return load if self.limit.admits(now) else max(1.0, load)
+
+    def next_start_at(self, now: float) -> float | None:
+        """Return when a queued request may start without a run ending.
+
+        :return: None if nothing is queued or if only a slot is missing.
+        """
+        if not self.waiting or self.running >= self.slots:
+            return None
+        return now + self.limit.wait_s(0, now)
 
     def expected_wait_s(
         self, order: forwarding.Order, now: float, late: bool = False
     ) -> float:
         """Return how long `order` would wait if it arrived now."""
-        if self.running < self.slots:
+        if self._may_start(now) and not self.waiting:
             return 0.0
         precedence = slotshare.precedence_of(
             order.rank, late, self._objective_s(order)
         )
-        slots = max(1, self.slots)
-        next_free_s = self.running_work_s / max(1, self.running)
-        work_s = next_free_s + self._work_ahead_s(order, late)
+        ahead = self._queue_ahead(order, late)
+        wait_s = self.limit.wait_s(ahead.requests, now)
+        if self.running >= self.slots:
+            next_free_s = self.running_work_s / max(1, self.running)
+            work_s = next_free_s + ahead.work_s
+            wait_s = max(wait_s, work_s / max(1, self.slots))
         available_share = 1 - self.shares.share_ahead_of(
-            precedence, slots, now
+            precedence, self.usable_slots, now
         )
-        return work_s / slots / available_share
+        return wait_s / available_share
 
     def submit(self, order: forwarding.Order, now: float) -> Decision:
         """Start, queue or refuse an order.
 
         An order that the result names neither started nor refused is queued.
+        The result also names queued orders that may start since the last
+        event.
         """
         order.received = now
         self._note_arrival(order, now)
-        if self.running < self.slots:
+        decision = self.fill(now)
+        if self._may_start(now):
             if now >= order.deadline:
-                return Decision([], [order])
-            self._start(order, now, late=False)
-            return Decision([order], [])
+                decision.refused.append(order)
+            else:
+                self._start(order, now, late=False)
+                decision.started.append(order)
+            return decision
         wait_s = self.expected_wait_s(order, now)
         run_s = self.times.expected_s(order.route)
         margin_s = MARGIN * self.times.deviation_s(order.route)
         if now + wait_s + run_s + margin_s <= order.objective:
             self._wait(order, late=False)
-            return Decision([], [])
-        if order.last and self._accepts_late(order, now):
+        elif order.last and self._accepts_late(order, now):
             self._wait(order, late=True)
-            return Decision([], [])
-        return Decision([], [order])
+        else:
+            decision.refused.append(order)
+        return decision
 
     def finish(self, order: forwarding.Order, now: float) -> Decision:
         """Free the slot of `order`; return what was started or refused."""
@@ -152,9 +196,9 @@
         return self.fill(now)
 
     def fill(self, now: float) -> Decision:
-        """Start queued requests while slots are free."""
+        """Start queued requests while slots are free and the limit allows."""
         decision = Decision([], [])
-        while self.waiting and self.running < self.slots:
+        while self.waiting and self._may_start(now):
             entry = self.waiting.pop(0)
             if not entry.order.settled:
                 self._dispatch(entry, now, decision)
@@ -201,7 +245,11 @@
         else:
             decision.refused.append(order)
 
+    def _may_start(self, now: float) -> bool:
+        return self.running < self.slots and self.limit.admits(now)
+
     def _start(self, order: forwarding.Order, now: float, late: bool) -> None:
+        self.limit.take(now)
         order.started = now
         order.run_s = self.times.expected_s(order.route)
         self.running += 1
@@ -233,21 +281,22 @@
         queued = sum(
             entry.late and entry.rank == order.rank for entry in self.waiting
         )
-        if queued >= max(1, int(self.slots * LATE_SHARE)):
+        if queued >= max(1, int(self.usable_slots * LATE_SHARE)):
             return False
         wait_s = self.expected_wait_s(order, now, late=True)
         run_s = self.times.expected_s(order.route)
         return now + wait_s + run_s <= order.deadline
 
-    def _work_ahead_s(self, order: forwarding.Order, late: bool) -> float:
-        """Return the run time of all queued requests ahead of `order`."""
+    def _queue_ahead(self, order: forwarding.Order, late: bool) -> QueuedWork:
+        """Return the queued requests ahead of `order`."""
         position = (order.rank, late, self._due(order))
-        total_s = 0.0
+        ahead = QueuedWork()
         for entry in self.waiting:
             if (entry.rank, entry.late, entry.due) > position:
                 break
-            total_s += entry.run_s
-        return total_s
+            ahead.requests += 1
+            ahead.work_s += entry.run_s
+        return ahead
 
     def _note_arrival(self, order: forwarding.Order, now: float) -> None:
         """Record an arrival and the objective of its route.
--- a/src/peridotpost/decisions/slotshare.py
+++ b/src/peridotpost/decisions/slotshare.py
@@ -77,7 +77,7 @@
         )
 
     def share_ahead_of(
-        self, precedence: Precedence, slots: int, now: float
+        self, precedence: Precedence, slots: float, now: float
     ) -> float:
         """Return the share of `slots` taken by work ahead of `precedence`."""
         work_s = sum(
--- a/src/peridotpost/experiment/ingress.py
+++ b/src/peridotpost/experiment/ingress.py
@@ -126,7 +126,7 @@
         candidates = host.candidates(route.service)
         for candidate in candidates:
             if candidate.host == host.name:
-                candidate.report_load(host.queue.load, now)
+                candidate.report_load(host.queue.load(now), now)
         # Once the objective is missed, the deadline counts.
         remaining_s = pending.objective - now
         if remaining_s <= 0:
@@ -157,7 +157,7 @@
         route = pending.route
 
         def settled(outcome: forwarding.Outcome) -> None:
-            load = target.queue.load
+            load = target.queue.load(self.fleet.clock.now)
             run_s = target.queue.times.expected_s(route.name)
             self.fleet.clock.after(
                 latency_s, lambda: deliver(outcome, load, run_s)
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -101,7 +101,7 @@
         if own.service == service:
             queue = self.guard.queue
             now = deadlines.now()
-            own.report_load(queue.load, now)
+            own.report_load(queue.load(now), now)
             own.report_failures(self.guard.failures.value(now), now)
             own.run_s = queue.times.mean_s
             own.run_by_route = queue.times.mean_by_route
@@ -394,8 +394,9 @@
         self.counts.add('peers.dialled')
 
     def _own_status(self) -> frames.Status:
-        load = int(self.guard.queue.load * 100)
-        failing = int(self.guard.failures.value(deadlines.now()) * 100)
+        now = deadlines.now()
+        load = int(self.guard.queue.load(now) * 100)
+        failing = int(self.guard.failures.value(now) * 100)
         return frameconversion.status_frame(self.guard.status(), load, failing)
 
     def _own_target_changed(self, status: instances.TargetStatus) -> None:
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -77,6 +77,7 @@
         self.connecting: dict[forwarding.Order, asyncio.Task[None]] = {}
         self.awaiting_body: set[forwarding.Order] = set()
         self.expiries: dict[forwarding.Order, int] = {}
+        self.wakes_at = 0.0
         self.reachability = reachability.Reachability(self, log)
         self.adverts = targetadverts.TargetAdverts(counts, log)
         self.failures = failures.FailureRate()
@@ -184,9 +185,10 @@
             self._refuse_retry(order)
             return
         verdict = self.queue.submit(order, now)
-        if not verdict.started and not verdict.refused:
+        refused = order in verdict.refused
+        if not refused and order not in verdict.started:
             self._set_expiry(self.queue.latest_start(order), order)
-        if order.fetch_body is not None and not verdict.refused:
+        if order.fetch_body is not None and not refused:
             order.fetch_body()
         self._apply_verdict(verdict)
 
@@ -260,6 +262,20 @@
             )
         for order in verdict.started:
             self._start(order)
+        self._wake_at_next_start()
+
+    def _wake_at_next_start(self) -> None:
+        """Set a timer for the next start that the rate limit allows."""
+        now = deadlines.now()
+        start_at = self.queue.next_start_at(now)
+        if start_at is None or now <= self.wakes_at <= start_at:
+            return
+        self.wakes_at = start_at
+        self.deadline_timer.add(start_at, self, self._start_due)
+
+    def _start_due(self) -> None:
+        self.wakes_at = 0.0
+        self._apply_verdict(self.queue.fill(deadlines.now()))
 
     def _log_declined(
         self, order: forwarding.Order, retry_after_s: float
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -275,7 +275,7 @@
         )
 
     def _load_percent(self) -> int:
-        return int(self.guard.queue.load * 100)
+        return int(self.guard.queue.load(deadlines.now()) * 100)
 
     def _failing_percent(self) -> int:
         return int(self.guard.failures.value(deadlines.now()) * 100)
--- a/testing/test_target_limit.py
+++ b/testing/test_target_limit.py
@@ -8,6 +8,7 @@
 
 from peridotpost.decisions import slots
 from peridotpost.model import forwarding
+from testing import conditions
 from testing import orders
 from testing import proxies
 
@@ -154,17 +155,29 @@
 
 async def test_request_that_no_limit_allows_is_refused_and_not_run() -> None:
     """The callers learn when to retry, and no target has run the request."""
-    async with proxies.pair() as (_mesh, first, second):
+    attempts = [f'w{number}' for number in range(40)]
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        first = await mesh.add('a', slots=len(attempts))
+        second = await mesh.add('b', slots=len(attempts))
         workers = (first.worker, second.worker)
-        for worker in workers:
-            worker.limit = '2'
-        answers = {}
-        for number in range(40):
-            attempt = f'w{number}'
-            answers[attempt] = await second.ask(
-                '/write/ok', method='POST', attempt=attempt, body=b'x'
+        for host in (first, second):
+            host.worker.limit = '2'
+            await host.announce()
+        await mesh.wait_ready()
+        await _ask_until_run_by(first, second)
+        await _ask_until_run_by(second, first)
+        responses = await asyncio.gather(
+            *(
+                second.ask(
+                    '/write/ok', method='POST', attempt=attempt, body=b'x'
+                )
+                for attempt in attempts
             )
+        )
+        answers = dict(zip(attempts, responses, strict=True))
         ran = {one.attempt for worker in workers for one in worker.runs}
+        ran &= {*attempts}
         refused = {
             attempt: answer
             for attempt, answer in answers.items()
@@ -191,3 +204,53 @@
         elapsed_s = asyncio.get_running_loop().time() - start
         assert set(statuses) == {200}
         assert limited.worker.arrivals_since(start) <= allowed(2, elapsed_s)
+
+
+async def _limited_host(mesh: proxies.Mesh, limit: str) -> proxies.Host:
+    """Start a host whose target has stated a limit in an answer."""
+    await mesh.kv.configure(proxies.config())
+    host = await mesh.add('a', slots=40)
+    host.worker.limit = limit
+    await host.announce()
+    await mesh.wait_ready()
+    await _ask_until_run_by(host, host)
+    return host
+
+
+async def _statuses_of_a_burst(host: proxies.Host) -> set[int]:
+    """Return the statuses of as many concurrent reads as there are slots."""
+    answers = await asyncio.gather(
+        *(host.ask('/read/ok', attempt=f'b{number}') for number in range(40))
+    )
+    return {one.status for one in answers}
+
+
+async def test_limit_that_the_target_no_longer_states_is_lifted() -> None:
+    async with proxies.running() as mesh:
+        host = await _limited_host(mesh, '2')
+        assert await _statuses_of_a_burst(host) == {200, 503}
+        host.worker.limit = ''
+        await _ask_until_run_by(host, host)
+        assert await _statuses_of_a_burst(host) == {200}
+
+
+async def test_invalid_statement_does_not_lift_a_limit() -> None:
+    async with proxies.running() as mesh:
+        host = await _limited_host(mesh, '2')
+        host.worker.limit = 'many'
+        await _ask_until_run_by(host, host)
+        assert host.proxy.guard.queue.limit_per_s == 2.0
+
+
+async def test_target_restarted_under_its_id_has_no_limit() -> None:
+    """Guards against a late answer of the earlier process that limits it."""
+    async with proxies.running() as mesh:
+        host = await _limited_host(mesh, '2')
+        held = asyncio.ensure_future(host.ask('/read/hold', attempt='h1'))
+        await host.worker.run_started.wait()
+        await conditions.until(lambda: 'h1' in host.worker.attempts())
+        assert await host.announce(born=2000) == 200
+        host.worker.release.set()
+        assert (await held).headers['server-limit'] == '2'
+        host.worker.limit = ''
+        assert await _statuses_of_a_burst(host) == {200}
