A target that states in an answer that it leaves gets no more work

Cause: as with limits, only announcements were believed. Change: the guard ends the incarnation as when it deregisters: queued requests go back, runs end, later heartbeats of the same start change nothing, a later start is taken. Peers hear of it on their streams before the answer itself. Evidence: testing/test_target_leaving.py failed before (13, 14 and 19 arrivals where 1 or 2 were allowed; a guard without network stayed ready) and passes.

--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -80,6 +80,7 @@
         self.wakes_at = 0.0
         self.reachability = reachability.Reachability(self, log)
         self.adverts = targetadverts.TargetAdverts(counts, log)
+        self.adverts.leaving_stated.subscribe(self._end_incarnation)
         self.failures = failures.FailureRate()
         self.failing_reported_at = 0.0
         self.leaving = False
@@ -143,7 +144,12 @@
 
     def handle_departure(self, instance: str, born_ms: int) -> None:
         """Handle a target's notice that it is leaving."""
-        if self.instances.leave(instance, born_ms):
+        self._end_incarnation(instances.Incarnation(instance, born_ms))
+
+    def _end_incarnation(self, incarnation: instances.Incarnation) -> None:
+        """Give no more work to an incarnation, whatever it announces."""
+        instance = incarnation.instance
+        if self.instances.leave(instance, incarnation.started_ms):
             self.log.state('target', instance=instance, to='gone')
             self._status_changed()
 
--- a/src/peridotpost/proxy/targetadverts.py
+++ b/src/peridotpost/proxy/targetadverts.py
@@ -2,6 +2,7 @@
 
 from peridotpost.decisions import advertisedlimit
 from peridotpost.kernel import counters
+from peridotpost.kernel import hooks
 from peridotpost.kernel import jsonlog
 from peridotpost.model import advertisement
 from peridotpost.model import instances
@@ -12,7 +13,11 @@
 
 
 class TargetAdverts:
-    """State advertised by one incarnation of the target after another."""
+    """State advertised by one incarnation of the target after another.
+
+    :ivar leaving_stated: fired once for an incarnation that states that it is
+        shutting down.
+    """
 
     def __init__(
         self, counts: counters.Counters, log: jsonlog.JsonLog
@@ -23,6 +28,9 @@
         self.limit = advertisedlimit.AdvertisedLimit()
         self.leaving = False
         self.value_logged_at = 0.0
+        self.leaving_stated: hooks.Hook[instances.Incarnation] = hooks.Hook(
+            'leaving-stated'
+        )
 
     def instance_replaced(self, incarnation: instances.Incarnation) -> None:
         """Start anew for an incarnation that has announced itself."""
@@ -50,6 +58,7 @@
         if stated.leaving and not self.leaving:
             self.leaving = True
             self._log('leaving')
+            self.leaving_stated.fire(incarnation)
         before = self.limit.per_s
         if self.limit.note(stated, sent_at, now):
             self._log_limit(before, now)
--- a/testing/test_target_leaving.py
+++ b/testing/test_target_leaving.py
@@ -1,5 +1,6 @@
 """A target that states in a response that it is leaving gets no more work."""
 
+import asyncio
 import random
 
 import pytest
@@ -13,6 +14,7 @@
 from peridotpost.platform import headers
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import guard as guards
+from testing import conditions
 from testing import orders
 from testing import proxies
 
@@ -98,3 +100,37 @@
                 assert answer.status == 200
         assert len(handled) == before
         assert len(leaving.worker.runs + leaving.worker.rejected) == before
+
+
+async def test_running_requests_of_a_leaving_target_are_answered() -> None:
+    """Queued requests go to another target, running ones end."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        leaving = await mesh.add('a', slots=2)
+        other = await mesh.add('b', slots=8)
+        await leaving.announce()
+        await mesh.wait_ready()
+        held = [
+            asyncio.ensure_future(
+                leaving.ask('/write/hold', method='POST', attempt=f'h{number}')
+            )
+            for number in range(2)
+        ]
+        await conditions.until(lambda: leaving.worker.running == 2)
+        held += [
+            asyncio.ensure_future(
+                leaving.ask('/read/ok', attempt=f'r{number}')
+            )
+            for number in range(2)
+        ]
+        queue = leaving.proxy.guard.queue
+        await conditions.until(lambda: len(queue.waiting) == 2)
+        await other.announce()
+        await mesh.wait_ready()
+        leaving.worker.leaving = '1'
+        # The response to one request states it while the other one runs.
+        leaving.worker.release.set()
+        answers = await asyncio.gather(*held)
+        assert {one.status for one in answers} == {200}
+        assert len(leaving.worker.runs) == 2
+        assert len(other.worker.runs) == 2
