Ingresses tell a restarted daemon what its target stated

What was seen: after a restart of the daemon beside it, a target that had stated that it leaves got 11 of 20 requests by a heartbeat that said ready, 20 of 20 from a host that had been cut off meanwhile; a target limited to 2/s got 14 to 35 at once. The hosts that had passed those answers on are bound by them, whatever happens beside the target. Cause: only the guard's process knew, and a process keeps nothing. Change: guards send what is in force with answers, refusals and status; ingresses remember it by host (decisions/statementmemory.py) and send it in their Hello, the first frame of a stream, so ahead of each request on it. The guard takes leaving at its word, and the lowest limit heard until it reads an answer itself. A statement costs one byte (none) or some 30 on an answer; no message of its own, no call to the store. Evidence: testing/test_target_restarts.py failed before and passes. One wait is added to its third test: the sender's stream to the other target has to be back as well (503 no-target otherwise, nothing to do with the check).

--- a/src/peridotpost/decisions/advertisedlimit.py
+++ b/src/peridotpost/decisions/advertisedlimit.py
@@ -8,6 +8,8 @@
 - A response without one ends the limit only if its request was sent after the
   latest response that named a limit had arrived.
 - An invalid value neither sets nor ends a limit.
+- What other hosts heard before this daemon started holds until its first
+  response.
 """
 
 import math
@@ -28,6 +30,16 @@
         self.named_at = -math.inf
         self.confirmed = False
 
+    def restore(self, per_s: float) -> bool:
+        """Apply a limit that another host heard; return whether it changed.
+
+        The lowest one counts, until a response of the target is seen.
+        """
+        if self.confirmed or (self.per_s is not None and self.per_s <= per_s):
+            return False
+        self.per_s = per_s
+        return True
+
     def note(
         self,
         stated: advertisement.Advertisement,
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -13,6 +13,7 @@
 import random
 from typing import TypeGuard
 
+from peridotpost.decisions import statementmemory
 from peridotpost.decisions import targetstate
 from peridotpost.kernel import counters
 from peridotpost.kernel import hooks
@@ -89,6 +90,7 @@
         self.own_candidate = targetstate.Candidate(
             own.host, own.availability_zone
         )
+        self.statements = statementmemory.StatementMemory()
         self.latest_by_address = {_address_of(own): own}
         self.closed = False
         guard.target_count = self.service_target_count
@@ -237,9 +239,12 @@
 
     # Streams.
 
-    def hello(self, compressed: bool) -> frames.Hello:
+    def hello(self, compressed: bool, host: str) -> frames.Hello:
         hello = _hello_from(self.own_record, self.version)
         hello.compressed = compressed
+        hello.heard = frameconversion.statement_frame(
+            self.statements.get(host)
+        )
         hello.has_slow_link = self.has_slow_link
         return hello
 
@@ -258,6 +263,9 @@
             if hello.incarnation > peer.record.incarnation:
                 peer.record = _record_from(hello)
                 self._note_address(peer.record)
+        heard = frameconversion.statement_from_frame(hello.heard)
+        if heard is not None:
+            self.guard.restore_statement(heard)
         if not stream.dialled:
             self._replace_older(stream, hello.host)
             self.accepted_streams.add(stream)
@@ -385,10 +393,12 @@
             return
         finally:
             peer.dialling = None
-        stream.host = record.host
         candidate = peer.candidate
         stream.on_load = functools.partial(_update_load, candidate)
         stream.on_run = candidate.report_run
+        stream.on_statement = functools.partial(
+            self._note_statement, record.host
+        )
         peer.stream = stream
         peer.dial_pause_s = MIN_DIAL_PAUSE_S
         self.counts.add('peers.dialled')
@@ -424,12 +434,31 @@
             status.version,
         )
         _update_load(peer.candidate, status.load / 100, status.failing / 100)
+        stated = frameconversion.statement_from_frame(status.stated)
+        self._note_statement(stream.host, stated, answered=False)
+
+    def _note_statement(
+        self,
+        host: str,
+        stated: instances.TargetStatement | None,
+        answered: bool,
+    ) -> None:
+        """Remember what the target of a peer stated.
+
+        :param answered: whether it came with an answer of the target, so that
+            a limit that is not mentioned has ended.
+        """
+        if stated is not None:
+            self.statements.note(host, stated)
+        elif answered:
+            self.statements.answered_without(host)
 
     def _handle_known_hosts(
         self, stream: peers.PeerStream, frame: frames.Known
     ) -> None:
         if not frame.hosts:
-            stream.send(frames.Known([self.hello(False), *self.known_hosts()]))
+            own = _hello_from(self.own_record, self.version)
+            stream.send(frames.Known([own, *self.known_hosts()]))
             return
         for hello in frame.hosts:
             self.add_record(_record_from(hello))
--- a/src/peridotpost/model/instances.py
+++ b/src/peridotpost/model/instances.py
@@ -51,6 +51,25 @@
         return Incarnation(self.instance, self.started_ms)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetStatement:
+    """What an incarnation of a target stated in its responses.
+
+    :param leaving: whether it is shutting down.
+    :param limit_per_s: requests per second that it accepts from all hosts
+        together; None if it has no limit.
+    """
+
+    instance: str
+    started_ms: int
+    leaving: bool
+    limit_per_s: float | None = None
+
+    @property
+    def incarnation(self) -> Incarnation:
+        return Incarnation(self.instance, self.started_ms)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostRecord:
     """Address of a host's daemon, as the daemon writes it to the store.
@@ -71,6 +90,7 @@
 
     :param ready: whether new requests may be sent.
     :param version: version of the target's software.
+    :param stated: what the target stated; None if nothing is in force.
     """
 
     service: str
@@ -78,3 +98,4 @@
     slots: int
     ready: bool
     version: str = ''
+    stated: TargetStatement | None = None
--- a/src/peridotpost/proxy/frameconversion.py
+++ b/src/peridotpost/proxy/frameconversion.py
@@ -12,6 +12,34 @@
 """Units of a whole in the share of a ``ReleaseUpdate``."""
 
 
+def statement_frame(
+    stated: instances.TargetStatement | None,
+) -> frames.Statement | None:
+    """Return the encoded part of a frame for a target's statement."""
+    if stated is None:
+        return None
+    return frames.Statement(
+        stated.instance,
+        stated.started_ms,
+        stated.leaving,
+        stated.limit_per_s,
+    )
+
+
+def statement_from_frame(
+    stated: frames.Statement | None,
+) -> instances.TargetStatement | None:
+    """Return a target's statement in a frame."""
+    if stated is None:
+        return None
+    return instances.TargetStatement(
+        stated.instance,
+        stated.started_ms,
+        stated.leaving,
+        stated.limit_per_s,
+    )
+
+
 def dispatch_frame(
     number: int, order: forwarding.Order, now: float
 ) -> frames.Dispatch:
@@ -68,12 +96,14 @@
     load: int,
     run_s: float,
     failing: int,
+    stated: instances.TargetStatement | None = None,
 ) -> frames.Frame:
     """Return the frame for an outcome.
 
     :param load: load of the guard, in hundredths of its slots.
     :param run_s: mean run time of the route on this target.
     :param failing: share of failed requests there, in hundredths.
+    :param stated: what the target stated and is in force.
     """
     run_ms = int(run_s * MS_IN_S)
     if isinstance(outcome, forwarding.TargetAnswer):
@@ -86,6 +116,7 @@
             load,
             run_ms,
             failing,
+            statement_frame(stated),
         )
     if isinstance(outcome, forwarding.Refused):
         return frames.RefusedFrame(
@@ -96,6 +127,7 @@
             load,
             run_ms,
             failing,
+            statement_frame(stated),
         )
     return frames.LostFrame(number, outcome.detail, outcome.crashed)
 
@@ -128,6 +160,7 @@
         load,
         failing,
         status.version,
+        statement_frame(status.stated),
     )
 
 
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -18,6 +18,15 @@
 a corrupt stream."""
 
 
+class Statement(msgspec.Struct, array_like=True):
+    """What a target stated; see ``instances.TargetStatement``."""
+
+    instance: str
+    started_ms: int
+    leaving: bool
+    limit_per_s: float | None
+
+
 class Dispatch(msgspec.Struct, array_like=True, tag=1):
     """A request for the receiver's target; see ``forwarding.Order``.
 
@@ -71,6 +80,7 @@
     :param load: running and queued requests, in hundredths of the slots.
     :param run_ms: mean run time of the route on that target.
     :param failing: share of failed requests there, in hundredths.
+    :param stated: what the target stated and is in force.
     """
 
     number: int
@@ -81,6 +91,7 @@
     load: int
     run_ms: int
     failing: int = 0
+    stated: Statement | None = None
 
 
 class RefusedFrame(msgspec.Struct, array_like=True, tag=4):
@@ -93,6 +104,7 @@
     load: int
     run_ms: int
     failing: int = 0
+    stated: Statement | None = None
 
 
 class LostFrame(msgspec.Struct, array_like=True, tag=5):
@@ -117,6 +129,7 @@
     load: int
     failing: int = 0
     version: str = ''
+    stated: Statement | None = None
 
 
 class Hello(msgspec.Struct, array_like=True, tag=7):
@@ -126,6 +139,8 @@
         on peers for configuration versions instead of reading the store.
     :param compressed: whether everything after this frame is one deflate
         stream, flushed after each write.
+    :param heard: what the receiver's target stated, as the sender remembers
+        it.
     """
 
     host: str
@@ -136,6 +151,7 @@
     version: int
     compressed: bool = False
     has_slow_link: bool = False
+    heard: Statement | None = None
 
 
 class Version(msgspec.Struct, array_like=True, tag=8):
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -102,15 +102,24 @@
     def status(self) -> instances.TargetStatus:
         current = self.instances.current
         if current is None:
-            return instances.TargetStatus('', '', 0, False)
+            return instances.TargetStatus(
+                '', '', 0, False, stated=self.adverts.stated
+            )
         return instances.TargetStatus(
             current.service,
             current.instance,
             current.slots,
             self.expects_target() and not self.reachability.down,
             current.version,
+            self.adverts.stated,
         )
 
+    def restore_statement(self, heard: instances.TargetStatement) -> None:
+        """Apply what a target stated before this daemon started."""
+        self.adverts.restore(heard)
+        self._apply_limit(deadlines.now())
+        self._apply_verdict(self.queue.fill(deadlines.now()))
+
     def accept_announcement(
         self, announcement: instances.Announcement
     ) -> None:
@@ -123,7 +132,7 @@
             self.failures = failures.FailureRate()
             self.reachability.instance_replaced()
             self.adverts.instance_replaced(announcement.incarnation)
-            self.queue.set_limit(None, deadlines.now())
+            self._apply_limit(deadlines.now())
             self.instance_header = (
                 self.header_names.instance
                 + b': '
@@ -448,7 +457,14 @@
         self.adverts.response_read(
             connection.incarnation, stated, order.started, now
         )
+        self._apply_limit(now)
+
+    def _apply_limit(self, now: float) -> None:
+        """Set the target's limit; peers are told when it begins or ends."""
+        before = self.queue.limit_per_s
         self.queue.set_limit(self.adverts.limit.per_s, now)
+        if (before is None) != (self.queue.limit_per_s is None):
+            self.status_changed.fire(self.status())
 
     def _record_outcome(self, outcome: forwarding.Outcome, now: float) -> None:
         if isinstance(outcome, forwarding.Refused):
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -40,6 +40,10 @@
 """Limit of the write buffer; a peer that stops reading is disconnected."""
 
 
+StatementCallback = Callable[[instances.TargetStatement | None, bool], None]
+"""Receives what a target stated, and whether it came with an answer."""
+
+
 class StreamOwner(Protocol):
     """Owner of a stream; handles the frames that do not concern requests."""
 
@@ -47,8 +51,8 @@
     counts: counters.Counters
     leaving: bool
 
-    def hello(self, compressed: bool) -> frames.Hello:
-        """Return the first frame to send."""
+    def hello(self, compressed: bool, host: str) -> frames.Hello:
+        """Return the first frame to send to a host."""
 
     def is_remote_zone(self, availability_zone: str) -> bool:
         """Whether a zone is not this host's own, so traffic is expensive."""
@@ -70,6 +74,8 @@
 
     :param zone: the peer's zone if this side opened the stream and so sends
         dispatches; None if the peer opened it.
+    :param host: name of the peer's host; empty until its `Hello` arrives if
+        the peer opened the stream.
     :param incarnation: the peer's process; 0 until its `Hello` arrives.
     :param version: the peer's configuration version in its `Hello`.
     :param hosts_requested: whether the peer was asked which daemons it knows.
@@ -78,7 +84,11 @@
     """
 
     def __init__(
-        self, owner: StreamOwner, guard: guards.Guard, zone: str | None = None
+        self,
+        owner: StreamOwner,
+        guard: guards.Guard,
+        zone: str | None = None,
+        host: str = '',
     ) -> None:
         self.owner = owner
         self.guard = guard
@@ -96,13 +106,14 @@
         self.dispatch_numbers = itertools.count(1)
         self.sent_orders: dict[int, forwarding.Order] = {}
         self.received_orders: dict[int, forwarding.Order] = {}
-        self.host = ''
+        self.host = host
         self.incarnation = 0
         self.received_at = deadlines.now()
         self.unanswered_since = 0.0
         self.pinged_at = 0.0
         self.on_load: Callable[[float, float], None] | None = None
         self.on_run: Callable[[str, float], None] | None = None
+        self.on_statement: StatementCallback | None = None
         self.hosts_requested = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -117,7 +128,8 @@
         """Send `Hello`; later frames to a remote zone are compressed."""
         remote_zone = self.owner.is_remote_zone(self.zone)
         assert self.transport is not None
-        self.transport.write(frames.encode(self.owner.hello(remote_zone)))
+        hello = self.owner.hello(remote_zone, self.host)
+        self.transport.write(frames.encode(hello))
         if remote_zone:
             self.deflater = frames.deflater()
             self.idle_ping_s = REMOTE_ZONE_IDLE_PING_S
@@ -271,6 +283,7 @@
                 self._load_percent(),
                 run_s,
                 self._failing_percent(),
+                self.guard.adverts.stated,
             )
         )
 
@@ -283,11 +296,13 @@
     def _answer_received(self, answer: frames.Answered) -> None:
         self._report_load(answer.load, answer.failing)
         self._report_run(answer.number, answer.run_ms)
+        self._report_statement(answer.stated, True)
         self._settle(answer.number, frameconversion.answer_from_frame(answer))
 
     def _refusal_received(self, refusal: frames.RefusedFrame) -> None:
         self._report_load(refusal.load, refusal.failing)
         self._report_run(refusal.number, refusal.run_ms)
+        self._report_statement(refusal.stated, False)
         self._settle(
             refusal.number, frameconversion.refusal_from_frame(refusal)
         )
@@ -296,6 +311,13 @@
         if self.on_load is not None:
             self.on_load(load / 100, failing / 100)
 
+    def _report_statement(
+        self, stated: frames.Statement | None, answered: bool
+    ) -> None:
+        if self.on_statement is not None:
+            statement = frameconversion.statement_from_frame(stated)
+            self.on_statement(statement, answered)
+
     def _report_run(self, number: int, run_ms: int) -> None:
         order = self.sent_orders.get(number)
         if run_ms and order is not None and self.on_run is not None:
@@ -377,7 +399,9 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         _, stream = await loop.create_connection(
-            lambda: PeerStream(owner, guard, record.availability_zone),
+            lambda: PeerStream(
+                owner, guard, record.availability_zone, record.host
+            ),
             record.address,
             record.port,
         )
--- a/src/peridotpost/proxy/targetadverts.py
+++ b/src/peridotpost/proxy/targetadverts.py
@@ -7,6 +7,9 @@
 from peridotpost.model import advertisement
 from peridotpost.model import instances
 
+MAX_PENDING = 8
+"""Incarnations with a limit that was heard before they announced
+themselves."""
 LIMIT_LOG_INTERVAL_S = 1.0
 """Minimum interval between log lines about new values of a limit.  A line
 about its start or its end is always written."""
@@ -27,6 +30,7 @@
         self.incarnation: instances.Incarnation | None = None
         self.limit = advertisedlimit.AdvertisedLimit()
         self.leaving = False
+        self.pending: dict[instances.Incarnation, float] = {}
         self.value_logged_at = 0.0
         self.leaving_stated: hooks.Hook[instances.Incarnation] = hooks.Hook(
             'leaving-stated'
@@ -37,6 +41,48 @@
         self.incarnation = incarnation
         self.limit = advertisedlimit.AdvertisedLimit()
         self.leaving = False
+        pending = self.pending.pop(incarnation, None)
+        if pending is not None:
+            self._restore_limit(pending)
+
+    @property
+    def stated(self) -> instances.TargetStatement | None:
+        """What the current incarnation stated; None if nothing."""
+        current = self.incarnation
+        limit_per_s = self.limit.per_s
+        if current is None or not (self.leaving or limit_per_s is not None):
+            return None
+        return instances.TargetStatement(
+            current.instance, current.started_ms, self.leaving, limit_per_s
+        )
+
+    def restore(self, heard: instances.TargetStatement) -> None:
+        """Apply what another host heard before this daemon started."""
+        incarnation = heard.incarnation
+        is_current = incarnation == self.incarnation
+        if heard.leaving:
+            if is_current and not self.leaving:
+                self.leaving = True
+                self._log('leaving')
+            self.leaving_stated.fire(incarnation)
+        elif heard.limit_per_s is None:
+            return
+        elif is_current:
+            self._restore_limit(heard.limit_per_s)
+        else:
+            self._keep_pending(incarnation, heard.limit_per_s)
+
+    def _restore_limit(self, limit_per_s: float) -> None:
+        if self.limit.restore(limit_per_s):
+            self._log('limited', limit_per_s=limit_per_s)
+
+    def _keep_pending(
+        self, incarnation: instances.Incarnation, limit_per_s: float
+    ) -> None:
+        earlier = self.pending.get(incarnation, limit_per_s)
+        if len(self.pending) >= MAX_PENDING:
+            del self.pending[next(iter(self.pending))]
+        self.pending[incarnation] = min(earlier, limit_per_s)
 
     def response_read(
         self,
--- a/testing/test_peer_streams.py
+++ b/testing/test_peer_streams.py
@@ -213,7 +213,7 @@
         await conditions.until(lambda: stream.incarnation > 0)
         peer.record = dataclasses.replace(peer.record, incarnation=1)
         first.proxy.directory.handle_hello(
-            stream, second.proxy.directory.hello(False)
+            stream, second.proxy.directory.hello(False, 'a')
         )
         assert peer.record == second.proxy.own_record
         assert peer.stream is stream
--- a/testing/test_target_restarts.py
+++ b/testing/test_target_restarts.py
@@ -134,6 +134,8 @@
         )
         cut = False
         await _announce_until_ready(mesh, 'a')
+        other = sender.proxy.directory.peers['b']
+        await conditions.until(lambda: other.candidate.ready)
         for number in range(20):
             answer = await sender.ask('/read/ok', attempt=f'n{number}')
             assert answer.status == 200
