Peers also remember that a target announced its leaving

Cause: the same as with statements in answers: one process knew. Change: a guard's statement to peers covers announcements as well. Evidence: both cases of test_late_heartbeat_does_not_revive_a_target_after_a_restart failed on the commit before and pass.

--- a/src/peridotpost/model/instances.py
+++ b/src/peridotpost/model/instances.py
@@ -53,7 +53,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetStatement:
-    """What an incarnation of a target stated in its responses.
+    """What an incarnation of a target stated in responses or announcements.
 
     :param leaving: whether it is shutting down.
     :param limit_per_s: requests per second that it accepts from all hosts
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -139,6 +139,8 @@
                 + announcement.instance.encode()
                 + b'\r\n'
             )
+        if announcement.state is not instances.InstanceState.READY:
+            self.adverts.left()
         self.queue.slots = announcement.slots
         self.log.state(
             'target',
@@ -159,6 +161,7 @@
         """Give no more work to an incarnation, whatever it announces."""
         instance = incarnation.instance
         if self.instances.leave(instance, incarnation.started_ms):
+            self.adverts.left()
             self.log.state('target', instance=instance, to='gone')
             self._status_changed()
 
--- a/src/peridotpost/proxy/targetadverts.py
+++ b/src/peridotpost/proxy/targetadverts.py
@@ -84,6 +84,10 @@
             del self.pending[next(iter(self.pending))]
         self.pending[incarnation] = min(earlier, limit_per_s)
 
+    def left(self) -> None:
+        """Note that the current incarnation announced that it is leaving."""
+        self.leaving = True
+
     def response_read(
         self,
         incarnation: instances.Incarnation,
--- a/testing/test_target_restarts.py
+++ b/testing/test_target_restarts.py
@@ -140,3 +140,31 @@
             answer = await sender.ask('/read/ok', attempt=f'n{number}')
             assert answer.status == 200
         assert len(target.worker.runs) == before
+
+
+@pytest.mark.parametrize(
+    'leaves_first',
+    [
+        pytest.param(False, id='draining'),
+        pytest.param(True, id='deregistered'),
+    ],
+)
+async def test_late_heartbeat_does_not_revive_a_target_after_a_restart(
+    leaves_first: bool,
+) -> None:
+    """Guards against a heartbeat from before a drain that was acknowledged."""
+    async with three_hosts() as (mesh, target, sender):
+        if leaves_first:
+            await target.send_rpc('instances.leave', 'i-a', b'{"born":1000}')
+        else:
+            await target.announce(state='draining')
+        known = sender.proxy.directory.peers['a'].candidate
+        await conditions.until(lambda: not known.ready)
+        await mesh.restart_proxy('a')
+        await _announce_until_ready(mesh, 'a')
+        for number in range(20):
+            answer = await sender.ask('/read/ok', attempt=f'n{number}')
+            assert answer.status == 200
+        assert not target.worker.runs
+        assert await mesh.hosts['a'].announce(born=3000) == 200
+        await conditions.until(lambda: known.ready)
