Ingresses draw a target with a limit by the share of its slots that it may use

Cause: an ingress saw a limited target as idle: its own share of the traffic is a few requests a second, and the guard's report of a full target fades within half a second. At 80 hosts with 16 of 40 targets limited to 4.5/s, guards refused 7,100 to 7,200 requests in 12 s, each of which then asked another target. Change: the limit comes with answers, refusals and status; a target's weight is scaled by limit x run time / slots, and a request in flight counts against those. Tried and not taken: the same with a request in flight counting one of at least one usable slot; a target of 4.5/s then got 5 to 39 of 54 requests in 12 s. The model's targets can name limits.

--- a/src/peridotpost/decisions/selection.py
+++ b/src/peridotpost/decisions/selection.py
@@ -19,6 +19,8 @@
   have a free slot: when all are full, each attempt costs cross-zone traffic
   and finds nothing.  The cheapest target of all zones is then tried once more
   (``last_resort``).
+- A target with a rate limit is drawn less often by the share of its slots
+  that the limit lets it use; the rest would be refused by its guard.
 - The cost of a target whose failure rate exceeds that of the others increases
   by the time that a failure costs the caller.  Failures that all targets of a
   service share are caused further downstream.
@@ -222,7 +224,10 @@
         costs_s = [view.cost_s(candidate) for candidate in candidates]
         if len(candidates) == 1:
             return candidates[0], costs_s[0]
-        weights = [cost_s**-WEIGHT_EXPONENT for cost_s in costs_s]
+        weights = [
+            candidate.capacity_share * cost_s**-WEIGHT_EXPONENT
+            for candidate, cost_s in zip(candidates, costs_s, strict=True)
+        ]
         index = self.randomness.choices(range(len(candidates)), weights)[0]
         return candidates[index], costs_s[index]
 
--- a/src/peridotpost/decisions/targetstate.py
+++ b/src/peridotpost/decisions/targetstate.py
@@ -8,6 +8,8 @@
 - Load and run times come from the target's guard, with each answer and
   refusal.  The load is the higher of that report and the ingress's own count
   of requests in flight.
+- A target with a rate limit uses few of its slots (Little's law).  By its
+  slots it would look idle to each of the many ingresses that send to it.
 - The guard sees all outcomes and reports the failure rate; the ingress adds
   the streams that it lost itself.
 """
@@ -19,6 +21,9 @@
 
 REPORT_HALF_LIFE_S = 0.5
 DEFAULT_RUN_S = 0.06
+MIN_USABLE_SLOTS = 0.05
+"""Least usable slots of a target with a rate limit, so that it gets requests
+whose answers tell that the limit has ended."""
 EWMA_WEIGHT = 1 / 32
 """Small, since the average covers routes whose runs differ by a factor of
 five."""
@@ -41,6 +46,8 @@
         a fifth of another's time.
     :param outstanding: requests of this ingress in flight to the target.
     :param version: version of the target's software.
+    :param limit_per_s: requests per second that the target accepts from all
+        hosts together; None if it has no limit.
     :param observed_failures: failures that this ingress saw itself.
     :param reported_failures: failures that the target's guard reported.
     """
@@ -52,6 +59,7 @@
     slots: int = 1
     ready: bool = False
     version: str = ''
+    limit_per_s: float | None = None
     load: float = 0.0
     load_at: float = 0.0
     run_s: float = DEFAULT_RUN_S
@@ -97,6 +105,7 @@
         self.reported_failures.report(0.0, 0.0)
         self.run_s = DEFAULT_RUN_S
         self.run_by_route.clear()
+        self.limit_per_s = None
 
     def note_outcome(self, failed: bool, now: float) -> None:
         """Record the outcome of a request that the target ran."""
@@ -112,11 +121,25 @@
             self.reported_failures.value(now),
         )
 
+    @property
+    def capacity_share(self) -> float:
+        """Share of its slots that the target's rate limit lets it use."""
+        if self.limit_per_s is None:
+            return 1.0
+        usable_slots = max(MIN_USABLE_SLOTS, self.limit_per_s * self.run_s)
+        return min(1.0, usable_slots / max(1, self.slots))
+
     def load_now(self, now: float) -> float:
-        """Return the estimated load, including one more request."""
+        """Return the estimated load, including one more request.
+
+        At a target with a rate limit that request counts as the share of a
+        slot that it leaves to others on average.
+        """
         age_s = max(0.0, now - self.load_at)
         reported = float(self.load * 0.5 ** (age_s / REPORT_HALF_LIFE_S))
-        return max(reported, (self.outstanding + 1) / max(1, self.slots))
+        share = self.capacity_share
+        usable_slots = max(1, self.slots) * share
+        return max(reported, (self.outstanding + share) / usable_slots)
 
     def cost_s(self, route: str, default_run_s: float, now: float) -> float:
         """Return the expected run time plus the weighted waiting time.
--- a/src/peridotpost/experiment/hosts.py
+++ b/src/peridotpost/experiment/hosts.py
@@ -66,6 +66,8 @@
             budget_config.ratio, budget_config.extra, budget_config.window_s
         )
         self.candidate_by_host: dict[str, targetstate.Candidate] = {}
+        self.wakes_at = 0.0
+        self.arrivals_while_limited = 0
 
     def candidates(self, service: str) -> list[targetstate.Candidate]:
         """Return a service's targets as this host's ingress knows them."""
@@ -96,7 +98,7 @@
             )
             return
         decision = self.queue.submit(order, clock.now)
-        if not decision.started and not decision.refused:
+        if order not in decision.started + decision.refused:
             remaining_s = self.queue.latest_start(order) - clock.now
             clock.after(max(0.0, remaining_s), lambda: self._expire(order))
         self._apply(decision)
@@ -121,6 +123,25 @@
             )
         for order in decision.started:
             self._run(order)
+        self._wake_at_next_start()
+
+    def _wake_at_next_start(self) -> None:
+        clock = self.fleet.clock
+        start_at = self.queue.next_start_at(clock.now)
+        if start_at is None or clock.now <= self.wakes_at <= start_at:
+            return
+        self.wakes_at = start_at
+        clock.after(start_at - clock.now, self._start_due)
+
+    def _start_due(self) -> None:
+        self.wakes_at = -1.0
+        self._apply(self.queue.fill(self.fleet.clock.now))
+
+    def _state_limit(self) -> None:
+        """Apply the limit that the target states in a response."""
+        phase = self.fleet.degrading_phase(self)
+        limit_per_s = phase.limit_per_s if phase is not None else 0.0
+        self.queue.set_limit(limit_per_s or None, self.fleet.clock.now)
 
     def _run(self, order: forwarding.Order) -> None:
         """Do the work and the calls of a run; answer when both are done."""
@@ -131,8 +152,11 @@
         )
         if order.retry_cause:
             fleet.route_results[order.route].repeats += 1
+        if self.queue.limit_per_s is not None:
+            self.arrivals_while_limited += 1
         phase = fleet.degrading_phase(self)
         if phase is not None and fleet.work_rng.random() < phase.sheds:
+            self._state_limit()
             decision = self.queue.release(order, fleet.clock.now)
             order.settle(SHED)
             self._apply(decision)
@@ -159,6 +183,7 @@
         fleet.clock.after(first_s, lambda: on_part_done(True))
 
     def _finish(self, order: forwarding.Order, succeeded: bool) -> None:
+        self._state_limit()
         decision = self.queue.finish(order, self.fleet.clock.now)
         order.settle(SUCCEEDED if succeeded else FAILED)
         self._apply(decision)
--- a/src/peridotpost/experiment/ingress.py
+++ b/src/peridotpost/experiment/ingress.py
@@ -159,14 +159,19 @@
         def settled(outcome: forwarding.Outcome) -> None:
             load = target.queue.load(self.fleet.clock.now)
             run_s = target.queue.times.expected_s(route.name)
+            limit_per_s = target.queue.limit_per_s
             self.fleet.clock.after(
-                latency_s, lambda: deliver(outcome, load, run_s)
+                latency_s, lambda: deliver(outcome, load, run_s, limit_per_s)
             )
 
         def deliver(
-            outcome: forwarding.Outcome, load: float, run_s: float
+            outcome: forwarding.Outcome,
+            load: float,
+            run_s: float,
+            limit_per_s: float | None,
         ) -> None:
             candidate.outstanding -= 1
+            candidate.limit_per_s = limit_per_s
             candidate.report_load(load, self.fleet.clock.now)
             candidate.report_run(route.name, run_s)
             self._on_outcome(pending, candidate, outcome)
--- a/src/peridotpost/experiment/scenario.py
+++ b/src/peridotpost/experiment/scenario.py
@@ -96,6 +96,8 @@
     :param ailing_share: fraction of its targets that are degraded: runs
         take `slower` times as long, and a fraction `sheds` of the requests
         is refused.
+    :param limit_per_s: requests per second that each degraded target states
+        it accepts; 0 if it states no limit.
     """
 
     start_s: NonNegative
@@ -105,6 +107,7 @@
     ailing_share: Fraction = 0.0
     slower: PositiveFloat = 1.0
     sheds: Fraction = 0.0
+    limit_per_s: NonNegative = 0.0
 
 
 class RetryBudgetConfig(_StrictStruct, frozen=True):
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -105,6 +105,7 @@
             now = deadlines.now()
             own.report_load(queue.load(now), now)
             own.report_failures(self.guard.failures.value(now), now)
+            own.limit_per_s = queue.limit_per_s
             own.run_s = queue.times.mean_s
             own.run_by_route = queue.times.mean_by_route
             yield own
@@ -448,6 +449,11 @@
         :param answered: whether it came with an answer of the target, so that
             a limit that is not mentioned has ended.
         """
+        peer = self.peers.get(host)
+        if peer is not None:
+            peer.candidate.limit_per_s = (
+                stated.limit_per_s if stated is not None else None
+            )
         if stated is not None:
             self.statements.note(host, stated)
         elif answered:
