Soak: targets state limits, and that they leave, in responses

Two checks, from what callers and targets saw, with the bounds of the users' rules; tests of both with cases that are broken, kept and excused.

--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -20,6 +20,11 @@
     is_flag=True,
     help='Also inject faults that affect many hosts at once.',
 )
+@click.option(
+    '--statements',
+    is_flag=True,
+    help='Targets also state limits, and that they leave, in responses.',
+)
 @click.option('--seconds', default=20.0, help='Duration of fault injection.')
 @click.option(
     '--folder',
@@ -31,6 +36,7 @@
     seeds: tuple[int, ...],
     fresh: int,
     fleet_faults: bool,
+    statements: bool,
     seconds: float,
     folder: pathlib.Path,
 ) -> None:
@@ -46,7 +52,9 @@
     for seed in all_seeds:
         place = folder / str(seed)
         shutil.rmtree(place, ignore_errors=True)
-        result = asyncio.run(runs.run(seed, seconds, place, fleet_faults))
+        result = asyncio.run(
+            runs.run(seed, seconds, place, fleet_faults, statements)
+        )
         click.echo(
             f'seed {seed}: {result.faults} faults, {result.asked} asked, '
             f'{result.answered} answered, {result.served} served, '
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -171,6 +171,8 @@
         request.status = response.status
         request.proof = response.headers.get('x-response-signature', '')
         request.body = response.body
+        request.stated_limit = response.headers.get('server-limit', '')
+        request.stated_leaving = 'server-leaving' in response.headers
         return response.headers.get('connection', '').lower() != 'close'
 
     def _make_retry(self, request: records.Asked) -> records.Asked:
@@ -184,6 +186,8 @@
             status=0,
             proof='',
             body=body,
+            stated_limit='',
+            stated_leaving=False,
         )
 
 
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -13,6 +13,7 @@
 from testing.soak import hosts
 from testing.soak import plan
 from testing.soak import records
+from testing.soak import worker_program
 from testing.standins import kv as kv_standin
 
 HOST_RECORD_PREFIX = 'peridotpost/hosts/'
@@ -242,6 +243,18 @@
         env.fleet[name].signal_target(signal.SIGUSR2)
 
 
+@inject.register
+async def _(fault: plan.Limiting, env: Environment) -> None:
+    host = env.fleet[fault.host]
+    signals = {
+        limit: number
+        for number, limit in worker_program.LIMIT_BY_SIGNAL.items()
+    }
+    host.signal_target(signals[fault.limit])
+    await asyncio.sleep(fault.lasts_s)
+    host.signal_target(signals[''])
+
+
 @inject.register
 async def _(fault: plan.ScaleIn, env: Environment) -> None:
     host = env.fleet[fault.host]
--- a/testing/soak/hosts.py
+++ b/testing/soak/hosts.py
@@ -29,7 +29,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostSpec:
-    """Address, availability zone, service and file location of a host."""
+    """Address, availability zone, service and file location of a host.
+
+    :param targets_state_leaving: whether targets state in responses that they
+        leave, some time before they announce it.
+    """
 
     name: str
     network: str
@@ -37,6 +41,7 @@
     zone: str
     service: str
     folder: pathlib.Path
+    targets_state_leaving: bool = False
 
     @property
     def address(self) -> str:
@@ -105,12 +110,14 @@
             'beside': f'{spec.address}:{ANNOUNCEMENTS_PORT}',
             'notes': str(self.notes_path),
         }
+        flags = ['--states-leaving'] if spec.targets_state_leaving else []
         log = open(spec.folder / f'{spec.name}.target.log', 'ab')
         with contextlib.closing(log):
             self.target = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *('-m', 'testing.soak.worker_program'),
                 *(f'--{name}={options[name]}' for name in options),
+                *flags,
                 stdout=log,
                 stderr=log,
                 env=os.environ
@@ -134,7 +141,7 @@
         if self.daemon is not None and self.daemon.returncode is None:
             self.daemon.send_signal(signal_number)
 
-    def signal_target(self, signal_number: signal.Signals) -> None:
+    def signal_target(self, signal_number: int) -> None:
         """Signal the target, unless it has exited."""
         if self.target is not None and self.target.returncode is None:
             self.target.send_signal(signal_number)
@@ -145,6 +152,17 @@
             return
         for line in self.notes_path.read_bytes().splitlines():
             entry = json.loads(line)
+            if entry['event'] == 'started':
+                self.observed.target_processes.append(
+                    records.TargetProcess(entry['instance'], entry['at'])
+                )
+                continue
+            if entry['event'] == 'limit':
+                # Of the process whose start was noted last in this file.
+                self.observed.target_processes[-1].limits.append(
+                    (entry['at'], entry['per_s'])
+                )
+                continue
             if entry['event'] == 'acknowledged':
                 self.observed.drain_acks.append(
                     records.DrainAck(
--- a/testing/soak/invariants.py
+++ b/testing/soak/invariants.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from testing.soak import records
+from testing.soak import statement_invariants
 
 UNDISRUPTED_S = 3.0
 VERSION_APPLY_S = 2.0
@@ -361,7 +362,23 @@
         )
 
 
+def _check_limits(history: History) -> Iterator[Violation]:
+    promise = 'a target gets no more than the limit that it named'
+    for at, detail in statement_invariants.limit_violations(history.observed):
+        yield Violation(promise, at, detail)
+
+
+def _check_leaving_targets(history: History) -> Iterator[Violation]:
+    promise = 'a target that stated that it leaves gets no requests'
+    for at, detail in statement_invariants.leaving_violations(
+        history.observed
+    ):
+        yield Violation(promise, at, detail)
+
+
 CHECKS: tuple[Check, ...] = (
+    _check_limits,
+    _check_leaving_targets,
     _check_responses_complete,
     _check_requests_unchanged,
     _check_service,
--- a/testing/soak/plan.py
+++ b/testing/soak/plan.py
@@ -100,6 +100,17 @@
     hosts: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limiting(Fault):
+    """A target names a limit of requests per second.
+
+    :param limit: as in ``worker_program.LIMIT_BY_SIGNAL``; ``many`` is not a
+        valid one.
+    """
+
+    limit: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ScaleIn(Fault):
     """A target drains and is not started again."""
@@ -110,6 +121,8 @@
     """Callers retry rejected requests at once, ignoring ``Retry-After``."""
 
 
+LIMITING_EPISODES = 4
+LIMITING_RANGE_S = (5.0, 12.0)
 LATE_START_S = 3.0
 FLEET_EPISODES = 4
 
@@ -171,6 +184,27 @@
     return sorted(faults, key=lambda one: one.at)
 
 
+def generate_statement_faults(
+    seed: int, seconds: float, hosts: list[str]
+) -> list[Fault]:
+    """Return limits that targets name, and drains, ordered by time.
+
+    They use a separate random generator, as `generate_fleet_faults` does.
+    """
+    rng = random.Random(f'{seed} statements')
+    faults: list[Fault] = []
+    for _ in range(LIMITING_EPISODES):
+        at = rng.uniform(0.0, seconds / 2)
+        lasts_s = rng.uniform(*LIMITING_RANGE_S)
+        limit = rng.choice(['0.5', '2', '2', 'many'])
+        faults.append(Limiting(at, lasts_s, rng.choice(hosts), limit))
+    at, host = rng.uniform(0.0, seconds / 2), rng.choice(hosts)
+    faults.append(TargetFault(at, 1.0, host, 'drain', rng.random() < 0.5))
+    kill_at = at + rng.uniform(0.5, 4.0)
+    faults.append(DaemonFault(kill_at, 0.2, host, 'kill', 0.0))
+    return sorted(faults, key=lambda one: one.at)
+
+
 def _link_fault(
     rng: random.Random, at: float, lasts_s: float, host: str
 ) -> LinkFault:
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -31,6 +31,8 @@
     :param sent: time in seconds when its last byte was written.
     :param deadline_s: time from sending until its deadline.
     :param proof: the target that signed the response; empty if unsigned.
+    :param stated_limit: limit that the response names for its target.
+    :param stated_leaving: whether it says that its target is leaving.
     """
 
     attempt: str
@@ -47,6 +49,8 @@
     proof: str = ''
     body: bytes = b''
     route_version: int = 0
+    stated_limit: str = ''
+    stated_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +83,21 @@
     instance: str
 
 
+@dataclasses.dataclass(slots=True)
+class TargetProcess:
+    """One process of a target; its id may have been used before.
+
+    :param limits: times from which it named a limit, in requests per second;
+        None where it stopped naming one.
+    """
+
+    instance: str
+    started_at: float
+    limits: list[tuple[float, float | None]] = dataclasses.field(
+        default_factory=list
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disruption:
     """A fault, from its injection until it was reverted.
@@ -113,6 +132,9 @@
     requests: list[Asked] = dataclasses.field(default_factory=list)
     executions: list[Execution] = dataclasses.field(default_factory=list)
     drain_acks: list[DrainAck] = dataclasses.field(default_factory=list)
+    target_processes: list[TargetProcess] = dataclasses.field(
+        default_factory=list
+    )
     disruptions: list[Disruption] = dataclasses.field(default_factory=list)
     exits: list[UnexpectedExit] = dataclasses.field(default_factory=list)
     versions: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -19,6 +19,7 @@
 from testing.soak import invariants
 from testing.soak import plan
 from testing.soak import records
+from testing.soak import worker_program
 from testing.standins import kv as kv_standin
 
 LAYOUT = (
@@ -70,15 +71,20 @@
     seconds: float,
     folder: pathlib.Path,
     fleet_faults: bool = False,
+    statements: bool = False,
 ) -> RunResult:
     """Run a seed; the logs of the processes are written to `folder`.
 
     :param fleet_faults: inject ``plan.generate_fleet_faults`` as well.
+    :param statements: targets also state limits and that they leave; see
+        ``plan.generate_statement_faults``.
     """
     # Targets inherit these dispositions.  Without them, a target that is
     # signalled to shed before it has installed its handlers would exit.
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
     signal.signal(signal.SIGUSR2, signal.SIG_IGN)
+    for number in worker_program.LIMIT_BY_SIGNAL:
+        signal.signal(number, signal.SIG_IGN)
     folder.mkdir(parents=True, exist_ok=True)
     observed = records.Records()
     kv = kv_standin.KvStore()
@@ -87,12 +93,14 @@
     fault_plan = plan.generate_faults(seed, seconds, names)
     if fleet_faults:
         fault_plan += plan.generate_fleet_faults(seed, seconds, names)
+    if statements:
+        fault_plan += plan.generate_statement_faults(seed, seconds, names)
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(kv_standin.serving(kv))
         fleet: dict[str, hosts.Host] = {}
         env = faults.Environment(fleet, kv, observed, shared)
         await env.publish_next_version()
-        for spec in _host_specs(names, folder):
+        for spec in _host_specs(names, folder, statements):
             fleet[spec.name] = await stack.enter_async_context(
                 hosts.running(spec, store, observed)
             )
@@ -125,10 +133,18 @@
 
 
 def _host_specs(
-    names: list[str], folder: pathlib.Path
+    names: list[str], folder: pathlib.Path, statements: bool
 ) -> list[hosts.HostSpec]:
     return [
-        hosts.HostSpec(name, loopback_network(), number, zone, service, folder)
+        hosts.HostSpec(
+            name,
+            loopback_network(),
+            number,
+            zone,
+            service,
+            folder,
+            targets_state_leaving=statements,
+        )
         for number, (name, (zone, service)) in enumerate(
             zip(names, LAYOUT, strict=True), start=1
         )
--- a/testing/soak/worker_program.py
+++ b/testing/soak/worker_program.py
@@ -2,7 +2,9 @@
 
 On SIGTERM it drains: it announces the draining state until the daemon
 acknowledges it, serves for another ``DRAIN_PERIOD_S``, deregisters and exits.
-Between SIGUSR1 and SIGUSR2 it rejects all requests.
+With ``--states-leaving`` it states before, for ``STATEMENT_PERIOD_S``, in its
+responses alone that it leaves.  Between SIGUSR1 and SIGUSR2 it rejects all
+requests; the signals of ``LIMIT_BY_SIGNAL`` set the limit that it names.
 """
 
 import asyncio
@@ -21,6 +23,13 @@
 
 HEARTBEAT_S = 0.4
 DRAIN_PERIOD_S = 2.0
+STATEMENT_PERIOD_S = 3.0
+LIMIT_BY_SIGNAL = {
+    signal.SIGRTMIN: '',
+    signal.SIGRTMIN + 1: '0.5',
+    signal.SIGRTMIN + 2: '2',
+    signal.SIGRTMIN + 3: 'many',
+}
 CALL_TIMEOUT_S = 1.0
 
 
@@ -145,20 +154,46 @@
         return response.split(b' ', 2)[1] == b'200'
 
 
-async def _serve(announcer: Announcer, bind: str) -> None:
+def _set_limit(worker: RecordingWorker, limit: str) -> None:
+    worker.limit = limit
+    if limit != 'many':
+        worker.record('limit', per_s=float(limit) if limit else None)
+
+
+async def _announce_ready(announcer: Announcer, stop: asyncio.Event) -> None:
+    while not stop.is_set():
+        await announcer.send_heartbeat('ready')
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(stop.wait(), HEARTBEAT_S)
+
+
+async def _state_leaving(announcer: Announcer) -> None:
+    """State in responses that the target leaves, but announce it as ready."""
+    announcer.worker.leaving = '1'
+    until = time.monotonic() + STATEMENT_PERIOD_S
+    while time.monotonic() < until:
+        await announcer.send_heartbeat('ready')
+        await asyncio.sleep(HEARTBEAT_S)
+
+
+async def _serve(
+    announcer: Announcer, bind: str, states_leaving: bool
+) -> None:
     worker = announcer.worker
+    worker.record('started')
     address, _, port = bind.rpartition(':')
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, setattr, worker, 'sheds', True)
     loop.add_signal_handler(signal.SIGUSR2, setattr, worker, 'sheds', False)
+    for number, limit in LIMIT_BY_SIGNAL.items():
+        loop.add_signal_handler(number, _set_limit, worker, limit)
     server = await asyncio.start_server(worker.serve, address, int(port))
     async with server:
-        while not stop.is_set():
-            await announcer.send_heartbeat('ready')
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(stop.wait(), HEARTBEAT_S)
+        await _announce_ready(announcer, stop)
+        if states_leaving:
+            await _state_leaving(announcer)
         while not await announcer.send_heartbeat('draining'):
             await asyncio.sleep(HEARTBEAT_S)
         worker.record('acknowledged')
@@ -179,6 +214,7 @@
     '--notes', required=True, help='File for a line per executed request.'
 )
 @click.option('--slots', default=4)
+@click.option('--states-leaving', is_flag=True)
 def main(
     instance: str,
     service: str,
@@ -187,6 +223,7 @@
     beside: str,
     notes: str,
     slots: int,
+    states_leaving: bool,
 ) -> None:
     """Serve as a target until SIGTERM."""
     actions = worker_standin.ACTIONS
@@ -195,7 +232,7 @@
         actions[name] = _recorded(actions[name])
     worker = RecordingWorker(instance, service, slots, notes)
     announcer = Announcer(worker, announced, beside)
-    asyncio.run(_serve(announcer, bind))
+    asyncio.run(_serve(announcer, bind, states_leaving))
     os._exit(0)
 
 
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -179,6 +179,69 @@
     assert 'draining target' in violation.promise
 
 
+def _stating_target(
+    count: int, **stated: object
+) -> tuple[records.Records, records.TargetProcess]:
+    """Return requests of one host to a target that states something."""
+    requests = [
+        make_request(
+            attempt=f's{number}',
+            sent=100.0 + 0.1 * number,
+            ended=100.05 + 0.1 * number,
+            **stated,
+        )
+        for number in range(count)
+    ]
+    executions = [
+        make_execution(attempt=one.attempt, at=one.sent) for one in requests
+    ]
+    observed = make_records(requests, executions)
+    process = records.TargetProcess(INSTANCE, 90.0)
+    observed.target_processes.append(process)
+    return observed, process
+
+
+@pytest.mark.parametrize(
+    ('limit_per_s', 'restart', 'broken'),
+    [
+        pytest.param(2.0, False, True, id='exceeded'),
+        pytest.param(9.0, False, False, id='kept'),
+        pytest.param(2.0, True, False, id='its sender was restarted'),
+    ],
+)
+def test_more_requests_than_a_limit_allows_are_reported(
+    limit_per_s: float, restart: bool, broken: bool
+) -> None:
+    observed, process = _stating_target(90, stated_limit='2')
+    process.limits = [(100.0, limit_per_s), (140.0, None)]
+    if restart:
+        observed.disruptions.append(
+            records.Disruption(101.0, 101.5, HOST, 'kill')
+        )
+    promises = [one.promise for one in invariants.check(observed)]
+    assert any('limit that it named' in one for one in promises) is broken
+
+
+@pytest.mark.parametrize(
+    ('restarted_at', 'broken'),
+    [
+        pytest.param(0.0, True, id='same process'),
+        pytest.param(101.0, False, id='restarted under its id'),
+    ],
+)
+def test_requests_to_a_target_that_stated_leaving_are_reported(
+    restarted_at: float, broken: bool
+) -> None:
+    observed, _ = _stating_target(40)
+    observed.requests[0].stated_leaving = True
+    if restarted_at:
+        observed.target_processes.append(
+            records.TargetProcess(INSTANCE, restarted_at)
+        )
+    promises = [one.promise for one in invariants.check(observed)]
+    assert any('stated that it leaves' in one for one in promises) is broken
+
+
 def test_late_configuration_version_is_reported() -> None:
     late = make_request(
         kind=records.Kind.IDEMPOTENT,
@@ -250,25 +313,31 @@
 
 @pytest.mark.processes
 @pytest.mark.parametrize(
-    ('seed', 'seconds', 'fleet_faults'),
+    ('seed', 'seconds', 'options'),
     [
-        pytest.param(1, 6.0, False, id='faults on single hosts'),
-        pytest.param(4, 8.0, True, id='many hosts at once'),
+        pytest.param(1, 6.0, {}, id='faults on single hosts'),
+        pytest.param(4, 8.0, {'fleet_faults': True}, id='many hosts at once'),
+        pytest.param(
+            2, 16.0, {'statements': True}, id='limits and drains by statement'
+        ),
         # The store hung; watches sent meanwhile were lost, so that new
         # versions were in force seconds late on all hosts.
-        pytest.param(382471730, 20.0, False, id='watches lost in an outage'),
+        pytest.param(382471730, 20.0, {}, id='watches lost in an outage'),
         # A daemon received SIGHUP during its start and exited.
-        pytest.param(180368104, 20.0, False, id='reload during a start'),
+        pytest.param(180368104, 20.0, {}, id='reload during a start'),
     ],
 )
 def test_programs_keep_invariants_under_faults(
-    seed: int, seconds: float, fleet_faults: bool, tmp_path: pathlib.Path
+    seed: int,
+    seconds: float,
+    options: dict[str, bool],
+    tmp_path: pathlib.Path,
 ) -> None:
     """Runs the real programs under the faults of a seed.
 
     The seeds with a comment once violated an invariant; the comment says
     what callers saw and why.
     """
-    result = asyncio.run(runs.run(seed, seconds, tmp_path, fleet_faults))
+    result = asyncio.run(runs.run(seed, seconds, tmp_path, **options))
     assert result.broken == []
     assert result.served
