--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -222,7 +222,7 @@
     def known_hosts(self) -> list[frames.Hello]:
         """Return the other known daemons, for a `Known` frame."""
         return [
-            _hello_from(peer.record, 0)
+            frameconversion.hello_frame(peer.record, 0)
             for peer in self.peers.values()
             if not self._address_is_reused(peer.record)
         ]
@@ -241,7 +241,7 @@
     # Streams.
 
     def hello(self, compressed: bool, host: str) -> frames.Hello:
-        hello = _hello_from(self.own_record, self.version)
+        hello = frameconversion.hello_frame(self.own_record, self.version)
         hello.compressed = compressed
         hello.heard = frameconversion.statement_frame(
             self.statements.get(host)
@@ -262,7 +262,7 @@
                 stream.close()
                 return
             if hello.incarnation > peer.record.incarnation:
-                peer.record = _record_from(hello)
+                peer.record = frameconversion.record_from_hello(hello)
                 self._note_address(peer.record)
         heard = frameconversion.statement_from_frame(hello.heard)
         if heard is not None:
@@ -271,7 +271,7 @@
             self._replace_older(stream, hello.host)
             self.accepted_streams.add(stream)
             stream.send(self._own_status())
-            self.add_record(_record_from(hello))
+            self.add_record(frameconversion.record_from_hello(hello))
         self.stream_greeted.fire(stream)
 
     def _replace_older(self, stream: peers.PeerStream, host: str) -> None:
@@ -463,11 +463,11 @@
         self, stream: peers.PeerStream, frame: frames.Known
     ) -> None:
         if not frame.hosts:
-            own = _hello_from(self.own_record, self.version)
+            own = frameconversion.hello_frame(self.own_record, self.version)
             stream.send(frames.Known([own, *self.known_hosts()]))
             return
         for hello in frame.hosts:
-            self.add_record(_record_from(hello))
+            self.add_record(frameconversion.record_from_hello(hello))
 
 
 def _address_of(record: instances.HostRecord) -> str:
@@ -499,24 +499,3 @@
     it stays silent it times out.
     """
     return stream is not None and 0 < stream.incarnation < record.incarnation
-
-
-def _hello_from(record: instances.HostRecord, version: int) -> frames.Hello:
-    return frames.Hello(
-        record.host,
-        record.availability_zone,
-        record.address,
-        record.port,
-        record.incarnation,
-        version,
-    )
-
-
-def _record_from(hello: frames.Hello) -> instances.HostRecord:
-    return instances.HostRecord(
-        hello.host,
-        hello.availability_zone,
-        hello.address,
-        hello.port,
-        hello.incarnation,
-    )
--- a/src/peridotpost/proxy/frameconversion.py
+++ b/src/peridotpost/proxy/frameconversion.py
@@ -12,6 +12,32 @@
 """Units of a whole in the share of a ``ReleaseUpdate``."""
 
 
+def hello_frame(record: instances.HostRecord, version: int) -> frames.Hello:
+    """Return the frame that introduces a daemon.
+
+    :param version: its configuration version.
+    """
+    return frames.Hello(
+        record.host,
+        record.availability_zone,
+        record.address,
+        record.port,
+        record.incarnation,
+        version,
+    )
+
+
+def record_from_hello(hello: frames.Hello) -> instances.HostRecord:
+    """Return the record of the daemon that a frame introduces."""
+    return instances.HostRecord(
+        hello.host,
+        hello.availability_zone,
+        hello.address,
+        hello.port,
+        hello.incarnation,
+    )
+
+
 def statement_frame(
     stated: instances.TargetStatement | None,
 ) -> frames.Statement | None:
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -15,7 +15,6 @@
 from peridotpost.decisions import budget
 from peridotpost.decisions import failures
 from peridotpost.decisions import incarnations
-from peridotpost.decisions import logbudget
 from peridotpost.decisions import slots as slot_rules
 from peridotpost.kernel import counters
 from peridotpost.kernel import hooks
@@ -23,6 +22,8 @@
 from peridotpost.model import forwarding
 from peridotpost.model import instances
 from peridotpost.proxy import deadlines
+from peridotpost.proxy import expiries
+from peridotpost.proxy import guardlog
 from peridotpost.proxy import headernames
 from peridotpost.proxy import http1
 from peridotpost.proxy import reachability
@@ -76,7 +77,7 @@
         self.running_by_attempt: dict[bytes, forwarding.Order] = {}
         self.connecting: dict[forwarding.Order, asyncio.Task[None]] = {}
         self.awaiting_body: set[forwarding.Order] = set()
-        self.expiries: dict[forwarding.Order, int] = {}
+        self.expiries = expiries.OrderExpiries(deadline_timer, self._expired)
         self.wakes_at = 0.0
         self.reachability = reachability.Reachability(self, log)
         self.adverts = targetadverts.TargetAdverts(counts, log)
@@ -205,7 +206,7 @@
         verdict = self.queue.submit(order, now)
         refused = order in verdict.refused
         if not refused and order not in verdict.started:
-            self._set_expiry(self.queue.latest_start(order), order)
+            self.expiries.set(self.queue.latest_start(order), order)
         if order.fetch_body is not None and not refused:
             order.fetch_body()
         self._apply_verdict(verdict)
@@ -230,7 +231,7 @@
         connection = self.running.get(order)
         if connection is None and not self._is_starting(order):
             self.queue.withdraw(order)
-            self._clear_expiry(order)
+            self.expiries.clear(order)
             order.settle(forwarding.Refused(forwarding.Refusal.WITHDRAWN))
             return
         if not order.idempotent and connection is not None:
@@ -265,16 +266,16 @@
             # Queued orders must not reach the target after its drain was
             # acknowledged; they can still run on other targets.
             for order in self.queue.drain():
-                self._clear_expiry(order)
+                self.expiries.clear(order)
                 order.settle(forwarding.Refused(forwarding.Refusal.LEAVING))
             self.idle.close()
         self.status_changed.fire(self.status())
 
     def _apply_verdict(self, verdict: slot_rules.Decision) -> None:
         for order in verdict.refused:
-            self._clear_expiry(order)
+            self.expiries.clear(order)
             retry_after_s = self.queue.retry_after_s(order, deadlines.now())
-            self._log_declined(order, retry_after_s)
+            guardlog.log_declined(self.log, self.queue, order, retry_after_s)
             order.settle(
                 forwarding.Refused(forwarding.Refusal.FULL, retry_after_s)
             )
@@ -295,42 +296,12 @@
         self.wakes_at = 0.0
         self._apply_verdict(self.queue.fill(deadlines.now()))
 
-    def _log_declined(
-        self, order: forwarding.Order, retry_after_s: float
-    ) -> None:
-        if not self.log.try_reserve(logbudget.LinePriority.STEP):
-            return
-        now = deadlines.now()
-        queue = self.queue
-        fields = {
-            'request': order.attempt_id.decode('latin-1'),
-            'route': order.route,
-            'rank': order.rank,
-            'last': order.last,
-            'running': queue.running,
-            'waiting': len(queue.waiting),
-            'slots': queue.slots,
-            'limit_per_s': queue.limit_per_s,
-            'wait_ms': round(queue.expected_wait_s(order, now) * 1000),
-            'run_ms': round(queue.times.expected_s(order.route) * 1000),
-            'objective_ms': round((order.objective - now) * 1000),
-            'left_ms': round((order.deadline - now) * 1000),
-            'return_ms': round(retry_after_s * 1000),
-        }
-        self.log.write('declined', fields)
-
-    def _set_expiry(self, deadline: float, order: forwarding.Order) -> None:
-        self._clear_expiry(order)
-        self.expiries[order] = self.deadline_timer.add(
-            deadline, order, lambda: self._expired(order)
-        )
-
     def _is_starting(self, order: forwarding.Order) -> bool:
         """Whether an order has a slot but was not sent to the target yet."""
         return order in self.connecting or order in self.awaiting_body
 
     def _start(self, order: forwarding.Order) -> None:
-        self._set_expiry(order.deadline + DEADLINE_SLACK_S, order)
+        self.expiries.set(order.deadline + DEADLINE_SLACK_S, order)
         if order.fetch_body is not None:
             self.awaiting_body.add(order)
             return
@@ -362,7 +333,7 @@
             # The target began to drain or was replaced while the connection
             # was being opened.
             connection.close()
-            self._clear_expiry(order)
+            self.expiries.clear(order)
             self._apply_verdict(self.queue.release(order, deadlines.now()))
             order.settle(forwarding.Refused(forwarding.Refusal.LEAVING))
             return
@@ -377,7 +348,7 @@
             # The process was stalled since the decision, or other retries used
             # the retry budget while this one was waiting.
             self.idle.add(connection)
-            self._clear_expiry(order)
+            self.expiries.clear(order)
             self._apply_verdict(self.queue.release(order, now))
             if remaining_ms > 0:
                 self._refuse_retry(order)
@@ -429,7 +400,7 @@
         now = deadlines.now()
         connection = self.running.pop(order, None)
         self.running_by_attempt.pop(order.attempt_id, None)
-        self._clear_expiry(order)
+        self.expiries.clear(order)
         if connection is not None and connection.is_usable(now):
             self.idle.add(connection)
         if connection is not None:
@@ -492,7 +463,7 @@
     def _connect_failed(self, order: forwarding.Order, error: OSError) -> None:
         if self.connecting.pop(order, None) is None:
             return
-        self._clear_expiry(order)
+        self.expiries.clear(order)
         self.reachability.connect_failed(error)
         self._apply_verdict(self.queue.release(order, deadlines.now()))
         order.settle(
@@ -521,7 +492,7 @@
     def target_down(self) -> None:
         """Refuse all queued orders, which can still run on other targets."""
         for order in self.queue.drain():
-            self._clear_expiry(order)
+            self.expiries.clear(order)
             order.settle(forwarding.Refused(forwarding.Refusal.UNREACHABLE))
         self.status_changed.fire(self.status())
 
@@ -533,13 +504,12 @@
         self.status_changed.fire(self.status())
 
     def _expired(self, order: forwarding.Order) -> None:
-        self.expiries.pop(order, None)
         if order.settled:
             return
         if order not in self.running and not self._is_starting(order):
             self.queue.withdraw(order)
             retry_after_s = self.queue.retry_after_s(order, deadlines.now())
-            self._log_declined(order, retry_after_s)
+            guardlog.log_declined(self.log, self.queue, order, retry_after_s)
             order.settle(
                 forwarding.Refused(forwarding.Refusal.TOO_LATE, retry_after_s)
             )
@@ -559,14 +529,9 @@
             if task is not None:
                 task.cancel()
             self.awaiting_body.discard(order)
-            self._clear_expiry(order)
+            self.expiries.clear(order)
             self._apply_verdict(self.queue.release(order, deadlines.now()))
             return
         connection = self.running.get(order)
         if connection is not None:
             connection.abort()
-
-    def _clear_expiry(self, order: forwarding.Order) -> None:
-        time_slot = self.expiries.pop(order, None)
-        if time_slot is not None:
-            self.deadline_timer.discard(time_slot, order)
--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -120,6 +120,12 @@
         async with self.caller() as caller:
             return await caller.ask(path, **given)
 
+    async def ask_until_run_by(self, target: 'Host') -> None:
+        """Send reads until another host's target has run one more."""
+        before = len(target.worker.runs)
+        while len(target.worker.runs) == before:
+            assert (await self.ask('/read/ok')).status == 200
+
     async def announce(self, **changes: Any) -> int:
         """Send a heartbeat of the target and return the answer's status."""
         self.sequence += 1
--- a/testing/test_target_limit.py
+++ b/testing/test_target_limit.py
@@ -104,15 +104,6 @@
     assert min(offered.retry_after_s) > 0.0
 
 
-async def _ask_until_run_by(
-    target: proxies.Host, sender: proxies.Host
-) -> None:
-    """Send reads until the target has answered one more."""
-    before = len(target.worker.runs)
-    while len(target.worker.runs) == before:
-        assert (await sender.ask('/read/ok')).status == 200
-
-
 async def _read_until(
     host: proxies.Host, end: float, statuses: list[int]
 ) -> None:
@@ -138,7 +129,7 @@
         await mesh.add('c', zone='hel-b', service='vault')
         await mesh.wait_ready()
         limited.worker.limit = str(limit_per_s)
-        await _ask_until_run_by(limited, limited)
+        await limited.ask_until_run_by(limited)
         start = asyncio.get_running_loop().time()
         statuses: list[int] = []
         callers = [
@@ -165,8 +156,8 @@
             host.worker.limit = '2'
             await host.announce()
         await mesh.wait_ready()
-        await _ask_until_run_by(first, second)
-        await _ask_until_run_by(second, first)
+        await second.ask_until_run_by(first)
+        await first.ask_until_run_by(second)
         responses = await asyncio.gather(
             *(
                 second.ask(
@@ -195,9 +186,9 @@
 ):
     async with proxies.pair() as (_mesh, limited, _other):
         limited.worker.limit = '1000'
-        await _ask_until_run_by(limited, limited)
+        await limited.ask_until_run_by(limited)
         limited.worker.limit = '2'
-        await _ask_until_run_by(limited, limited)
+        await limited.ask_until_run_by(limited)
         start = asyncio.get_running_loop().time()
         statuses: list[int] = []
         await _read_until(limited, start + 0.5, statuses)
@@ -213,7 +204,7 @@
     host.worker.limit = limit
     await host.announce()
     await mesh.wait_ready()
-    await _ask_until_run_by(host, host)
+    await host.ask_until_run_by(host)
     return host
 
 
@@ -230,7 +221,7 @@
         host = await _limited_host(mesh, '2')
         assert await _statuses_of_a_burst(host) == {200, 503}
         host.worker.limit = ''
-        await _ask_until_run_by(host, host)
+        await host.ask_until_run_by(host)
         assert await _statuses_of_a_burst(host) == {200}
 
 
@@ -238,7 +229,7 @@
     async with proxies.running() as mesh:
         host = await _limited_host(mesh, '2')
         host.worker.limit = 'many'
-        await _ask_until_run_by(host, host)
+        await host.ask_until_run_by(host)
         assert host.proxy.guard.queue.limit_per_s == 2.0
 
 
--- a/testing/test_target_restarts.py
+++ b/testing/test_target_restarts.py
@@ -31,15 +31,6 @@
         yield mesh, target, sender
 
 
-async def _ask_until_run_by(
-    target: proxies.Host, sender: proxies.Host
-) -> None:
-    """Send reads until the target has answered one more."""
-    before = len(target.worker.runs)
-    while len(target.worker.runs) == before:
-        assert (await sender.ask('/read/ok')).status == 200
-
-
 async def _announce_until_ready(mesh: proxies.Mesh, name: str) -> None:
     """Announce a target as ready until all hosts are connected to it."""
     host = mesh.hosts[name]
@@ -63,7 +54,7 @@
     """Guards against a restarted daemon that believes a late heartbeat."""
     async with three_hosts() as (mesh, target, sender):
         target.worker.leaving = '1'
-        await _ask_until_run_by(target, sender)
+        await sender.ask_until_run_by(target)
         before = len(target.worker.runs)
         await mesh.restart_proxy('a')
         await _announce_until_ready(mesh, 'a')
@@ -77,7 +68,7 @@
     """Guards against a full set of slots until the first answer is read."""
     async with three_hosts() as (mesh, target, sender):
         target.worker.limit = '2'
-        await _ask_until_run_by(target, sender)
+        await sender.ask_until_run_by(target)
         before = len(target.worker.runs)
         target = await mesh.restart_proxy('a')
         await _announce_until_ready(mesh, 'a')
@@ -121,7 +112,7 @@
 
     async with three_hosts() as (mesh, target, sender):
         target.worker.leaving = '1'
-        await _ask_until_run_by(target, sender)
+        await sender.ask_until_run_by(target)
         before = len(target.worker.runs)
         monkeypatch.setattr(peers, 'dial', dial_unless_cut)
         cut = True
