A valid limit counts beside an invalid statement of another kind; docs

Cause: an answer whose leaving header can't be read had its valid limit ignored as well. Change: only an invalid limit is without effect on the limit. Failed before: the case 'valid beside another invalid statement' of test_limit_in_force_after_responses.

--- a/src/peridotpost/decisions/advertisedlimit.py
+++ b/src/peridotpost/decisions/advertisedlimit.py
@@ -50,7 +50,7 @@
 
         :param sent_at: when the request of the response was sent.
         """
-        if stated.invalid:
+        if stated.invalid and stated.limit_per_s is None:
             return False
         before = self.per_s
         if stated.limit_per_s is not None:
--- a/src/peridotpost/model/advertisement.py
+++ b/src/peridotpost/model/advertisement.py
@@ -10,7 +10,8 @@
     :param leaving: whether the target is shutting down.
     :param limit_per_s: requests per second that it accepts from all hosts
         together; None if the response names no valid limit.
-    :param invalid: text of a statement that could not be parsed.
+    :param invalid: text of a statement that could not be parsed; the other
+        one, if any, is valid.
     """
 
     leaving: bool = False
--- a/src/peridotpost/proxy/targetadverts.py
+++ b/src/peridotpost/proxy/targetadverts.py
@@ -18,8 +18,8 @@
 class TargetAdverts:
     """State advertised by one incarnation of the target after another.
 
-    :ivar leaving_stated: fired once for an incarnation that states that it is
-        shutting down.
+    :ivar leaving_stated: fired with an incarnation that states that it is
+        shutting down, or that is said by another host to have stated it.
     """
 
     def __init__(
@@ -61,10 +61,10 @@
         incarnation = heard.incarnation
         is_current = incarnation == self.incarnation
         if heard.leaving:
-            if is_current and not self.leaving:
-                self.leaving = True
-                self._log('leaving')
-            self.leaving_stated.fire(incarnation)
+            if not is_current:
+                self.leaving_stated.fire(incarnation)
+            elif not self.leaving:
+                self._leaving_heard(incarnation)
         elif heard.limit_per_s is None:
             return
         elif is_current:
@@ -106,13 +106,16 @@
             self.counts.add('target.invalid-statements')
             self.log.request('invalid-statement', value=stated.invalid)
         if stated.leaving and not self.leaving:
-            self.leaving = True
-            self._log('leaving')
-            self.leaving_stated.fire(incarnation)
+            self._leaving_heard(incarnation)
         before = self.limit.per_s
         if self.limit.note(stated, sent_at, now):
             self._log_limit(before, now)
 
+    def _leaving_heard(self, incarnation: instances.Incarnation) -> None:
+        self.leaving = True
+        self._log('leaving')
+        self.leaving_stated.fire(incarnation)
+
     def _log_limit(self, before: float | None, now: float) -> None:
         self.counts.add('target.limit-changes')
         limit_per_s = self.limit.per_s
--- a/testing/test_advertisements.py
+++ b/testing/test_advertisements.py
@@ -125,6 +125,11 @@
             id='invalid value keeps it',
         ),
         pytest.param([(0, 1, Stated(invalid='x'))], None, id='invalid first'),
+        pytest.param(
+            [(0, 1, Stated(limit_per_s=5.0, invalid='x'))],
+            5.0,
+            id='valid beside another invalid statement',
+        ),
     ],
 )
 def test_limit_in_force_after_responses(
