--- a/testing/test_target_limit.py
+++ b/testing/test_target_limit.py
@@ -34,10 +34,11 @@
 
 
 class Offered:
-    """Starts and refusals of a queue under a steady load.
+    """Starts and refusals of a queue with a limit, under a steady load.
 
-    The limit holds from `limited_at`; each route arrives `per_s` times a
-    second in total, with ranks 0 to 2.
+    Requests of ranks 0 to 2 arrive `per_s` times a second in total.
+
+    :param last: whether the requests have no other target left.
     """
 
     def __init__(
