A lost watch is noticed in time, and 401 and 404 need a confirmed version

Both answers are final to a caller.

Cause: the store hung for .4 s and lost the watch that a host had just sent; no other call of the host failed, so the watch was waited for until its timeout after 4.4 s, and the host took itself for current without any age. Evidence: h2's log has one `store unreachable` line, 4.5 s after the hang began, whose call is the watch; all hosts of a zone send watches at the same moment after a version, so no peer announced the next one.

Change: a watch waits 1.8 s in the store, so that a lost one is noticed and the configuration read again within 2.5 s, before the host counts as undisrupted (3 s). A host is current for 2 s after an answer; beyond that it answers 503 with Retry-After instead of 401, and instead of 404, and does not announce that it follows the store. Ruled out: a second, short call beside the watch would cost as many calls.

test_following asserted that a host is current 100 s after the store last answered, which is the fault; it now asserts that this ends after 2 s.

--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -21,14 +21,22 @@
 While the store is down there are no followers.  When it comes back,
 followers announce themselves within one heartbeat, and daemons with slow
 links wait for that.
+
+A watch that is lost on its way looks like one without changes.  So a daemon
+takes its configuration for current only if the store, or a follower that is
+current, confirmed it within ``CONFIRMED_FOR_S``.
 """
 
 import dataclasses
+import math
 
 SLOW_LINK_MBPS = 20.0
 FOLLOWER_TIMEOUT_S = 2.0
 """Longer than two heartbeats, so that two may be lost."""
 HEARTBEAT_S = 0.8
+CONFIRMED_FOR_S = 2.0
+"""How long a follower's configuration counts as current after an answer of
+the store: the time in which a version has to be in force everywhere."""
 MIN_READ_INTERVAL_S = 2.0
 PEER_READ_WAIT_S = 0.9
 """Longer than a heartbeat, at which each daemon checks whether to read."""
@@ -47,6 +55,8 @@
     :param peer_read_at: when another daemon of the zone with a slow link
         last began to read.
     :param read_ended_at: when this daemon last read the configuration.
+    :param confirmed_at: when a read or a watch of the configuration was last
+        answered.
     """
 
     link_mbps: float
@@ -59,6 +69,7 @@
     store_back_at: float = 0.0
     peer_read_at: float = -FOLLOWER_TIMEOUT_S
     read_ended_at: float | None = None
+    confirmed_at: float = -math.inf
 
     @property
     def has_slow_link(self) -> bool:
@@ -102,12 +113,19 @@
         confirmed the version within `FOLLOWER_TIMEOUT_S`.
         """
         if not self.has_slow_link or self.store_reachable is False:
-            return self.follows_store
+            return (
+                self.follows_store
+                and now - self.confirmed_at <= CONFIRMED_FOR_S
+            )
         confirmations = [*self.last_heard_by_host.values()]
         if self.read_ended_at is not None:
             confirmations.append(self.read_ended_at)
         return any(now - at <= FOLLOWER_TIMEOUT_S for at in confirmations)
 
+    def note_confirmed(self, now: float) -> None:
+        """Record that the store answered a read or a watch."""
+        self.confirmed_at = now
+
     def note_store_state(self, answers: bool, now: float) -> None:
         """Record whether the store answers this daemon."""
         if answers and self.store_reachable is False:
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -161,6 +161,7 @@
                 revision = read.revision
                 pause_s = MIN_RETRY_PAUSE_S
                 self._set_reachable(True, '')
+                self.versions.read_policy.note_confirmed(deadlines.now())
                 self._handle_orders(read)
                 if read.raw is not None:
                     self.versions.offer(read.raw, 'store')
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -149,7 +149,7 @@
 
     def announce_following(self) -> None:
         """Tell peers with slow links that this daemon follows the store."""
-        if self.read_policy.follows_store and self.version:
+        if self.read_policy.is_current(deadlines.now()) and self.version:
             self.directory.broadcast_to_zone(
                 self._version_frame(), slow_only=True
             )
--- a/src/peridotpost/platform/store.py
+++ b/src/peridotpost/platform/store.py
@@ -25,10 +25,10 @@
 READ_TIMEOUT_S = 3.0
 """Timeout of a configuration read, which may be megabytes on a slow link."""
 CONNECT_TIMEOUT_S = 0.5
-WATCH_WAIT_MS = 4000
-"""How long a watch waits in the store.  A connection may go silent for good;
-a change missed that way is found by the next watch, or announced by a peer
-before."""
+WATCH_WAIT_MS = 1800
+"""How long a watch waits in the store.  A watch or its answer may be lost
+without an error, so the wait is shorter than ``following.CONFIRMED_FOR_S``: an
+answer confirms the configuration for that long."""
 WATCH_TIMEOUT_MARGIN_S = 0.4
 MS_IN_S = 1000
 ItemT = TypeVar('ItemT')
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -124,7 +124,7 @@
         path = message.target.split(b'?', 1)[0].decode('latin-1')
         route = config.find(host, path)
         if route is None:
-            self.completion.refuse_unrouted(message, respond, 404, 'no-route')
+            self._refuse_unknown_route(message, respond)
             return None
         parent = self._parent_run(message)
         identity = self.identification.identify(
@@ -220,6 +220,21 @@
                 return first_attempt.service
         return self.splitter.pick(route.name, route.shares)
 
+    def _refuse_unknown_route(
+        self, message: http1.Message, respond: listener.Respond
+    ) -> None:
+        """Refuse with 404 only if no newer version can have the route."""
+        if self.identification.is_current(deadlines.now()):
+            self.completion.refuse_unrouted(message, respond, 404, 'no-route')
+        else:
+            self.completion.refuse_unrouted(
+                message,
+                respond,
+                503,
+                'config-not-current',
+                identities.NOT_CURRENT_RETRY_AFTER_S,
+            )
+
     def _parent_run(self, message: http1.Message) -> forwarding.Order | None:
         """Return the run on this host's target that made this call."""
         parent_id = self.header_names.parent_of(message.attempt_id)
--- a/src/peridotpost/reports/explanation.py
+++ b/src/peridotpost/reports/explanation.py
@@ -68,7 +68,7 @@
         'the one that added or revoked the key'
     ),
     ('refused', 'config-not-current'): (
-        'refused, not run: its key is unknown or missing here, but this host '
+        'refused, not run: its key or route is unknown here, but this host '
         'might not have known of a newer configuration; the caller may '
         'retry, and the store lines show why the store was not followed'
     ),
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -141,7 +141,11 @@
     fast = following.StoreReadPolicy(1000.0, start=0.0)
     assert not fast.is_current(0.0)
     fast.note_store_state(True, 0.0)
-    assert fast.is_current(100.0)
+    fast.note_confirmed(0.0)
+    assert fast.is_current(following.CONFIRMED_FOR_S)
+    assert not fast.is_current(following.CONFIRMED_FOR_S + 0.1)
+    fast.note_confirmed(1.0)
+    assert fast.is_current(1.0)
     fast.note_store_state(False, 1.0)
     assert not fast.is_current(1.0)
     for confirm in ('note_read_ended', 'note_follower'):
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from peridotpost.decisions import following
 from peridotpost.mesh import directory as directories
 from peridotpost.mesh import storefeed
 from peridotpost.model import errors
 from peridotpost.platform import store
 from testing import conditions
 from testing import proxies
+from testing.soak import invariants
 
 
 async def test_daemon_without_configuration_answers_503() -> None:
@@ -292,6 +294,33 @@
             await conditions.until(functools.partial(_is_in_force, host, 3))
 
 
+async def test_unknown_route_is_not_final_while_the_watch_is_unanswered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against 404 for a route whose version a lost watch missed."""
+    monkeypatch.setattr(store, 'WATCH_WAIT_MS', 60_000)
+    monkeypatch.setattr(following, 'CONFIRMED_FOR_S', 0.0, raising=False)
+    async with proxies.pair() as (_mesh, first, _second):
+        answer = await first.ask('/added-later/ok')
+        assert answer.status == 503
+        assert 'retry-after' in answer.headers
+        monkeypatch.setattr(following, 'CONFIRMED_FOR_S', 3600.0)
+        assert (await first.ask('/added-later/ok')).status == 404
+
+
+def test_lost_watch_is_noticed_before_its_version_has_to_be_in_force() -> None:
+    """Guards against a version that is late because one watch was lost.
+
+    A host that was undisrupted for `UNDISRUPTED_S` applies each version within
+    `VERSION_APPLY_S`, and its last watch may be lost as the disruption ends.
+    """
+    noticed_s = store.WATCH_WAIT_MS / 1000 + store.WATCH_TIMEOUT_MARGIN_S
+    read_s = 1.25 * storefeed.MIN_RETRY_PAUSE_S
+    assert noticed_s + read_s < invariants.UNDISRUPTED_S
+    assert store.WATCH_WAIT_MS / 1000 < following.CONFIRMED_FOR_S
+    assert following.CONFIRMED_FOR_S <= invariants.VERSION_APPLY_S
+
+
 async def test_configuration_is_read_after_a_failed_watch(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
