Retries that come back when a limit ends are admitted by a share of their own

Cause: hosts refused retries during a limit without reporting them. The owner saw only new requests, ended the limit, and the refused callers that came back were all admitted until its next verdict. The heal itself, at 9 s, is ruled out.

Change: reports contain retries; a limit lasts until they and new requests are below the rate, and meanwhile retries get the share that new requests leave. The decayed rate of retries existed, but only for asked requests.

--- a/src/peridotpost/decisions/quotaaccount.py
+++ b/src/peridotpost/decisions/quotaaccount.py
@@ -56,6 +56,8 @@
         self.decided_at = -math.inf
         self.share = 1.0
         self.retry_after_s = 0.0
+        self.retry_share = 0.0
+        self.announced_retry_share = 0.0
         self.retries_per_s = 0.0
         self.retried_at = now
         self.announced = 1.0
@@ -114,9 +116,7 @@
         self.used_at = now
         if is_retry:
             needed = max(1.0, RETRY_LEVEL * capacity)
-            self.retries_per_s = self.recent_retries_per_s(now)
-            self.retries_per_s += 1.0 / RETRIES_DECAY_S
-            self.retried_at = now
+            self._add_retries(now, 1)
         else:
             needed = 1.0
             self._add_demand(now, 1)
@@ -136,11 +136,18 @@
             # What was admitted is the least that was asked for.
             self._add_demand(now - age * quotas.HISTORY_SLOT_S, admitted)
         self._add_demand(now, use.asked)
-        if use.asked > 0:
+        if use.retries > 0:
+            self._add_retries(now, use.retries)
+        if use.asked > 0 or use.retries > 0:
             self.used_at = now
         elif use.admitted or use.history:
             self.used_at = now
 
+    def _add_retries(self, now: float, count: int) -> None:
+        self.retries_per_s = self.recent_retries_per_s(now)
+        self.retries_per_s += count / RETRIES_DECAY_S
+        self.retried_at = now
+
     def _add_demand(self, at: float, asked: int) -> None:
         if asked <= 0:
             return
@@ -189,7 +196,7 @@
         return count / length_s + trend
 
     def recent_retries_per_s(self, now: float) -> float:
-        """Return the decayed rate of retries that hosts asked for."""
+        """Return the decayed rate of retries that came during a limit."""
         age_s = now - self.retried_at
         return self.retries_per_s * math.exp(-age_s / RETRIES_DECAY_S)
 
--- a/src/peridotpost/decisions/quotaowner.py
+++ b/src/peridotpost/decisions/quotaowner.py
@@ -12,6 +12,9 @@
 - A new account starts empty in a process that is younger than a window, and
   if a host reports that it was limited before.  Otherwise the hosts' reports
   on the last window give its level, also in a zone that was just cut off.
+- Retries of refused requests get a share of what new requests leave, and a
+  limit lasts until both together are below the rate.  Otherwise the retries
+  that wait for its end would all be admitted at once.
 - Hosts that are cut off leave their part of the rate to themselves.
 - Once an account runs low, hosts ask for each request.  Those are admitted in
   the order of arrival, by a second bucket with the same debt: requests that
@@ -191,8 +194,12 @@
             ended = account.share >= 1.0 and account.announced < 1.0
             change = abs(account.share - account.announced)
             started = account.share < 1.0 and account.announced >= 1.0
+            retry_change = abs(
+                account.retry_share - account.announced_retry_share
+            )
             changed = (
                 change > BROADCAST_CHANGE * account.announced
+                or retry_change > BROADCAST_CHANGE
                 or ended
                 or started
             )
@@ -203,6 +210,7 @@
                 if account.announced >= 1.0:
                     account.limited_since = now
                 account.announced = account.share
+                account.announced_retry_share = account.retry_share
                 account.announced_at = now
                 due.append(self._verdict(account))
             if now - account.used_at > 2 * self.rule.window_s:
@@ -268,12 +276,24 @@
             # Hosts that have not reported yet may have used up the quota.
             share = min(share, account.lowest_share)
         account.share = share
+        account.retry_share = 0.0
         account.retry_after_s = 0.0
-        if share < 1.0:
-            backlog_s = (demand - admissible) * HORIZON_S / quota.rate_per_s
-            account.retry_after_s = min(
-                MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, backlog_s)
-            )
+        if share >= 1.0:
+            return
+        backlog = (demand - admissible) * HORIZON_S
+        served_per_s = quota.rate_per_s
+        if share >= quotas.NEARLY_ALL:
+            retries_per_s = account.recent_retries_per_s(now)
+            room_per_s = max(0.0, admissible - demand)
+            account.retry_share = 1.0
+            if retries_per_s > room_per_s:
+                account.retry_share = room_per_s / retries_per_s
+            backlog = retries_per_s * HORIZON_S
+            served_per_s = max(room_per_s, 1.0 / MAX_RETRY_AFTER_S)
+        account.retry_after_s = min(
+            MAX_RETRY_AFTER_S,
+            max(MIN_RETRY_AFTER_S, backlog / served_per_s),
+        )
 
     @staticmethod
     def _runs_low(
@@ -303,6 +323,7 @@
             account.quota.name,
             account.share,
             account.retry_after_s,
+            account.retry_share,
         )
 
 
--- a/src/peridotpost/decisions/quotas.py
+++ b/src/peridotpost/decisions/quotas.py
@@ -10,8 +10,8 @@
 - A share holds until the next verdict, at most for one window.
 - With ``ASK_OWNER``, the owner of a limited customer is asked for each request
   and admits them in the order of their arrival.
-- Retries of refused requests wait until the limit ends.  A retry mostly misses
-  its objective while a new request would meet it.
+- Retries of refused requests get what new requests leave.  A retry mostly
+  misses its objective while a new request would meet it.
 - Two requests within a report interval are reported at once, so that an owner
   notices a rise of demand before the burst is used up.
 - No host admits more than the whole quota by itself, even without an owner.
@@ -103,7 +103,10 @@
         'pace_until',
         'recent',
         'reported',
+        'retried',
         'retry_after_s',
+        'retry_credit',
+        'retry_share',
         'share',
         'share_until',
         'used_at',
@@ -117,7 +120,10 @@
         self.level_at = now
         self.share = 1.0
         self.share_until = -math.inf
+        self.retried = 0
         self.retry_after_s = 0.0
+        self.retry_credit = credit
+        self.retry_share = 0.0
         self.used_at = now
         self.owner: quotas.Owner | None = None
         self.pace: _Pace | None = None
@@ -150,8 +156,8 @@
     ) -> float | None:
         """Admit a request.
 
-        :param is_retry: whether the quota did not admit it before; it is
-            refused as long as the customer is limited.
+        :param is_retry: whether the quota did not admit it before; while the
+            customer is limited, retries have a share of their own.
         :return: None if it is admitted, otherwise the seconds until the next
             request is allowed, different for each caller.
         """
@@ -162,18 +168,11 @@
         if use is None:
             use = self._new_use(customer.name, limit, now)
         use.used_at = now
-        if is_retry and use.current_share(now) < 1.0:
-            return self._spread(use.retry_after_s)
-        use.asked += 1
         gained = customer.rate_per_s * (now - use.level_at)
         use.level = min(limit, use.level + gained)
         use.level_at = now
-        share = use.current_share(now)
-        if share < 1.0:
-            use.credit += share
-            if use.credit < 1.0:
-                return self._spread(use.retry_after_s)
-            use.credit -= 1.0
+        if not self._has_share(use, now, is_retry):
+            return self._spread(use.retry_after_s)
         if use.level < 1.0:
             return self._spread(
                 max(use.retry_after_s, (1.0 - use.level) / customer.rate_per_s)
@@ -184,6 +183,24 @@
         use.admitted += 1
         return None
 
+    def _has_share(self, use: _Use, now: float, is_retry: bool) -> bool:
+        """Count a request and return whether it is within its share."""
+        share = use.current_share(now)
+        if is_retry and share < 1.0:
+            use.retried += 1
+            use.retry_credit += use.retry_share
+            if use.retry_credit < 1.0:
+                return False
+            use.retry_credit -= 1.0
+            return True
+        use.asked += 1
+        if share < 1.0:
+            use.credit += share
+            if use.credit < 1.0:
+                return False
+            use.credit -= 1.0
+        return True
+
     def owner_to_ask(
         self, customer: quotas.Limited, now: float
     ) -> quotas.Owner | None:
@@ -244,6 +261,7 @@
         use.recent.append(_Admitted(now, use.admitted))
         use.admitted = 0
         use.asked = 0
+        use.retried = 0
         self.unanswered.setdefault(owner, now)
         return report
 
@@ -268,7 +286,7 @@
         for name, use in list(self.uses.items()):
             while use.recent and now - use.recent[0].at > self.rule.window_s:
                 use.recent.popleft()
-            idle = not (use.asked or use.admitted or use.recent)
+            idle = not (use.asked or use.admitted or use.recent or use.retried)
             if idle:
                 if now > max(use.share_until, use.used_at):
                     self._forget_if_idle(name, use, now)
@@ -284,6 +302,7 @@
                 use.recent.append(_Admitted(now, use.admitted))
             use.admitted = 0
             use.asked = 0
+            use.retried = 0
         for owner in self.unanswered.keys() - owners:
             del self.unanswered[owner]
         for owner in self.answered.keys() - owners:
@@ -356,6 +375,7 @@
         _remember(use.last_verdicts, sender, verdict.number)
         use.share = verdict.share
         use.retry_after_s = verdict.retry_after_s
+        use.retry_share = verdict.retry_share
         use.share_until = now + self.rule.window_s
         return True
 
@@ -394,11 +414,16 @@
                 slot = int((now - one.at) / quotas.HISTORY_SLOT_S)
                 history += [0] * (slot + 1 - len(history))
                 history[slot] += one.count
-        if not (use.asked or use.admitted or history):
+        if not (use.asked or use.admitted or history or use.retried):
             return None
         _remember(use.reported, owner, now)
         return quotas.Use(
-            name, use.admitted, use.asked, use.current_share(now), history
+            name,
+            use.admitted,
+            use.asked,
+            use.current_share(now),
+            history,
+            use.retried,
         )
 
     def _keeps_pace(
--- a/src/peridotpost/experiment/quotafleet.py
+++ b/src/peridotpost/experiment/quotafleet.py
@@ -29,9 +29,9 @@
 """Time until a host closes the stream of an owner that is silent, after the
 first report that is overdue."""
 REPORT_BYTES = 4 + 1 + 1 + 5 + 1
-USE_BYTES = 1 + 12 + 1 + 1 + 3 + 1
+USE_BYTES = 1 + 12 + 1 + 1 + 3 + 1 + 1
 VERDICTS_BYTES = 4 + 1 + 1 + 5 + 1
-VERDICT_BYTES = 1 + 5 + 12 + 3 + 3
+VERDICT_BYTES = 1 + 5 + 12 + 3 + 3 + 3
 ASK_BYTES = 4 + 1 + 1 + 5 + 12 + 1
 DECISION_BYTES = 4 + 1 + 1 + 5 + 3
 """Encoded sizes of the frames for names of eleven letters."""
--- a/src/peridotpost/mesh/quotas.py
+++ b/src/peridotpost/mesh/quotas.py
@@ -322,6 +322,7 @@
                 given.customer,
                 given.share / SHARE_UNITS,
                 given.retry_after_ms / MS_IN_S,
+                given.retry_share / SHARE_UNITS,
             )
             is_owner = self.owners.owner_of(given.customer) == stream.host
             if not self.ingress.apply(verdict, owner, now, is_owner):
@@ -351,6 +352,7 @@
         use.asked,
         round(use.share * SHARE_UNITS),
         list(use.history),
+        use.retries,
     )
 
 
@@ -361,6 +363,7 @@
         use.asked,
         use.share / SHARE_UNITS,
         use.history,
+        use.retries,
     )
 
 
@@ -375,6 +378,7 @@
                 verdict.customer,
                 round(verdict.share * SHARE_UNITS),
                 round(verdict.retry_after_s * MS_IN_S),
+                round(verdict.retry_share * SHARE_UNITS),
             )
             for verdict in verdicts
         ],
--- a/src/peridotpost/model/quotas.py
+++ b/src/peridotpost/model/quotas.py
@@ -68,6 +68,8 @@
     :param share: admission share that the host applies.
     :param history: what the host admitted before and did not report to this
         owner, in slots of ``HISTORY_SLOT_S``, the most recent one first.
+    :param retries: retries of refused requests that came during a limit;
+        they are not part of `asked`.
     """
 
     customer: str
@@ -75,6 +77,7 @@
     asked: int
     share: float = 1.0
     history: Sequence[int] = ()
+    retries: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,12 +86,14 @@
 
     :param number: increases with each verdict of an owner.
     :param retry_after_s: mean time after which a refused caller returns.
+    :param retry_share: share of the retries to admit while `share` is below 1.
     """
 
     number: int
     customer: str
     share: float
     retry_after_s: float
+    retry_share: float = 0.0
 
 
 HISTORY_SLOT_S = 0.25
@@ -96,5 +101,6 @@
 """Interval of a host's reports.  The reaction to a rise of demand takes about
 two intervals, in which a hot customer may use up what the rule tolerates."""
 NEARLY_ALL = 0.9999
-"""Share while an account runs low but still admits all requests.  Hosts then
-ask the owner for each request, so the limit begins at the right one."""
+"""Share while all new requests are admitted, but retries only by their own
+share.  With ``decisions.quotas.ASK_OWNER``, hosts then ask the owner for each
+request, so the limit begins at the right one."""
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -269,6 +269,7 @@
     asked: int
     share: int
     history: list[int] = []
+    retries: int = 0
 
 
 class QuotaReport(msgspec.Struct, array_like=True, tag=20):
@@ -284,13 +285,14 @@
 class QuotaVerdict(msgspec.Struct, array_like=True):
     """Which part of a customer's requests to admit; see ``quotas.Verdict``.
 
-    :param share: in ten-thousandths.
+    :param share: in ten-thousandths, as is `retry_share`.
     """
 
     number: int
     customer: str
     share: int
     retry_after_ms: int
+    retry_share: int = 0
 
 
 class QuotaVerdicts(msgspec.Struct, array_like=True, tag=21):
--- a/testing/test_quotas.py
+++ b/testing/test_quotas.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bench import quotas as bench_quotas
 from peridotpost.decisions import quotaowner
 from peridotpost.decisions import quotas as hostquotas
 from peridotpost.decisions import rendezvous
@@ -88,6 +89,22 @@
         assert highest <= fleet.rule.allowed(one.quota), one.quota
 
 
+@pytest.mark.parametrize(('host_count', 'seed'), [(82, 4), (300, 3)])
+def test_retries_that_come_after_a_limit_keep_the_rule(
+    host_count: int, seed: int
+) -> None:
+    """Guards against admitting all retries at once when a limit ends."""
+    scenario = quotascenarios.SCENARIOS['healed while limited']
+    fleet = quotafleet.Fleet(seed, host_count)
+    played = quotascenarios.demands(
+        bench_quotas.HOT_RATES, bench_quotas.CALM_RATES, scenario.zones
+    )
+    quotascenarios.play(scenario, fleet, played, len(bench_quotas.HOT_RATES))
+    for one in played:
+        highest = quotafleet.highest_count(one.run, 5.0, 0.0)
+        assert highest <= fleet.rule.allowed(one.quota), one.quota
+
+
 RULE = quotas.QuotaRule()
 QUOTA = quotas.Quota('c', 10.0, 10.0)
 OWNER = quotas.Owner('o', 1)
@@ -127,6 +144,30 @@
     assert gate.share_of('c', 1.0 + RULE.window_s) == (1.0, 0.0)
 
 
+def test_limit_lasts_until_retries_are_within_the_rate() -> None:
+    """Guards against a limit that ends while refused callers come back."""
+    owner = quotaowner.QuotaOwner(RULE, -60.0)
+    owner.set_quotas([QUOTA])
+    owner.report(OWNER, 1, [quotas.Use('c', 20, 500)], 1.0)
+    limited = owner.accounts['c']
+    retrying = quotas.Use('c', 0, 0, 0.0, (), 20)
+    for tick in range(6, 21):
+        owner.report(OWNER, tick, [retrying], 0.2 * tick)
+    assert limited.share == quotas.NEARLY_ALL
+    assert 0.0 < limited.retry_share < 0.5
+    (verdict,) = owner.broadcasts(4.1)
+    gate = hostquotas.HostQuotas(RULE, random.Random(1))
+    gate.apply(verdict, OWNER, 4.1)
+    retries = [gate.admit(QUOTA, 4.2, is_retry=True) for _ in range(20)]
+    assert 0 < retries.count(None) < 10
+    assert gate.admit(QUOTA, 4.2) is None
+    (report,) = gate.reports(4.3, {'c': OWNER}.get)[OWNER]
+    assert (report.asked, report.retries) == (1, 20)
+    for tick in range(21, 40):
+        owner.broadcasts(0.2 * tick)
+    assert limited.share == 1.0
+
+
 def test_membership_moves_only_the_customers_of_the_changed_host() -> None:
     """Guards against moving all accounts whenever a host restarts."""
     hosts = [f'h{number}' for number in range(20)]
