An owner of a quota counts no host that replaced it or does not hear it

Cause: an owner counted each host with accepted streams both ways. A host that does not get the owner's hello or answers has dialled it all the same, and reports to another owner.

Change: the dialling side confirms the other side's hello, and hosts that take a zone for cut off tell its hosts; neither is counted unless confirmed. Ruled out: counting the hosts that report, as most customers have none for seconds.

--- a/src/peridotpost/border/loglines.py
+++ b/src/peridotpost/border/loglines.py
@@ -30,6 +30,7 @@
     :param at: Unix time in seconds, by the clock of the host that wrote it.
     :param request: attempt id of the caller's request.
     :param to: new state.
+    :param zone: availability zone.
     :param source: where a configuration came from.
     :param instance: instance of the target.
     :param tried: hosts whose guards were asked, in this order.
@@ -67,6 +68,7 @@
     status: int = 0
     to: str = ''
     peer: str = ''
+    zone: str = ''
     source: str = ''
     error: str = ''
     instance: str = ''
--- a/src/peridotpost/decisions/quotas.py
+++ b/src/peridotpost/decisions/quotas.py
@@ -41,8 +41,6 @@
 TAKEOVER_S = 0.6
 """Time that the successor of a silent owner needs until its verdicts are in
 force: a report, the estimate of the demand, and the answer."""
-CUT_OFF_HOLD_S = 3.0
-"""How long a zone counts as cut off; the streams to it are closed by then."""
 MIN_SILENT_OWNERS = 2
 """One silent owner is a slow host, not a zone that is cut off."""
 EARLY_REPORT_COUNT = 2
@@ -147,7 +145,6 @@
         self.uses: dict[str, _Use] = {}
         self.unanswered: dict[quotas.Owner, float] = {}
         self.answered: dict[quotas.Owner, float] = {}
-        self.cut_off_until: dict[str, float] = {}
         self.known_hosts = 1
         self.reported_at = -math.inf
 
@@ -324,25 +321,29 @@
             if now - since > UNCONFIRMED_AFTER_S
         ]
 
-    def cut_off_zones(
+    def silent_zones(
         self, zone_of: Callable[[str], str], now: float
     ) -> set[str]:
         """Return the availability zones whose owners are mostly silent.
 
-        Streams to a zone that is cut off are closed one to two seconds later.
-        Until then, owners in it are to be replaced and its hosts' part of the
-        rate is to be left to them.
+        :param zone_of: returns the zone of a host; '' for this one.
         """
         silent = collections.Counter(map(zone_of, self.silent_owners(now)))
-        answering = collections.Counter(
+        answering = self._answering_owners(zone_of, now)
+        return {
+            zone
+            for zone, count in silent.items()
+            if count >= MIN_SILENT_OWNERS and count > answering[zone]
+        }
+
+    def _answering_owners(
+        self, zone_of: Callable[[str], str], now: float
+    ) -> collections.Counter[str]:
+        return collections.Counter(
             zone_of(owner.host)
             for owner, at in self.answered.items()
             if now - at < UNCONFIRMED_AFTER_S
         )
-        for zone, count in silent.items():
-            if count >= MIN_SILENT_OWNERS and count > answering[zone]:
-                self.cut_off_until[zone] = now + CUT_OFF_HOLD_S
-        return {zone for zone, end in self.cut_off_until.items() if now < end}
 
     def apply(
         self,
--- a/src/peridotpost/experiment/quotafleet.py
+++ b/src/peridotpost/experiment/quotafleet.py
@@ -17,6 +17,7 @@
 from peridotpost.decisions import quotaowner
 from peridotpost.decisions import quotas as hostquotas
 from peridotpost.decisions import rendezvous
+from peridotpost.decisions import zonecuts
 from peridotpost.mesh import quotaasks
 from peridotpost.model import quotas
 
@@ -53,6 +54,7 @@
     incarnation: int
     gate: hostquotas.HostQuotas
     owner: quotaowner.QuotaOwner
+    cuts: zonecuts.ZoneCuts
     number: int = 0
     view_version: int = 0
     sent: int = 0
@@ -320,7 +322,8 @@
         gate = hostquotas.HostQuotas(self.rule, self.randomness)
         owner = quotaowner.QuotaOwner(self.rule, started_at)
         owner.set_quotas(self.quotas)
-        return Host(name, zone, 1 + int(started_at + 60.0), gate, owner)
+        cuts = zonecuts.ZoneCuts(zone)
+        return Host(name, zone, 1 + int(started_at + 60.0), gate, owner, cuts)
 
     def _restart(self, name: str) -> None:
         host = self._start(name, self.zone_of[name], self.now)
@@ -339,7 +342,9 @@
 
     def _update_view(self, name: str, host: Host) -> None:
         zones, down = self.reached[name]
-        zones -= host.gate.cut_off_zones(self.zone_of.__getitem__, self.now)
+        self._update_cuts(host)
+        zones -= host.cuts.zones(self.now)
+        down |= host.cuts.separated_hosts(self.now)
         view = self.views.get((zones, down))
         if view is None:
             view = self.views[zones, down] = rendezvous.Owners()
@@ -359,6 +364,15 @@
             )
             host.owner.set_reachable(mutual, known, self.now)
 
+    def _update_cuts(self, host: Host) -> None:
+        """Find the zones that are cut off."""
+        cuts = host.cuts
+
+        def zone_of(name: str) -> str:
+            return '' if name == host.name else self.zone_of[name]
+
+        cuts.observe(host.gate.silent_zones(zone_of, self.now), self.now)
+
     def _schedule_tick(self, name: str, host: Host) -> None:
         delay = quotas.REPORT_INTERVAL_S * self.randomness.uniform(0.9, 1.1)
         if host.number == 0:
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -264,6 +264,7 @@
             if hello.incarnation > peer.record.incarnation:
                 peer.record = frameconversion.record_from_hello(hello)
                 self._note_address(peer.record)
+            stream.send(frames.HelloReceived())
         heard = frameconversion.statement_from_frame(hello.heard)
         if heard is not None:
             self.guard.restore_statement(heard)
--- a/src/peridotpost/mesh/quotas.py
+++ b/src/peridotpost/mesh/quotas.py
@@ -18,6 +18,7 @@
 from peridotpost.kernel import tasks
 from peridotpost.mesh import directory as directories
 from peridotpost.mesh import quotaasks
+from peridotpost.mesh import zonecuts
 from peridotpost.model import quotas
 from peridotpost.proxy import customerusage
 from peridotpost.proxy import deadlines
@@ -56,6 +57,7 @@
         self.accounts = quotaowner.QuotaOwner(rule, deadlines.now())
         self.asks = quotaasks.QuotaAsks(self.ingress, counts, deadlines.now)
         self.owners = rendezvous.Owners()
+        self.cuts = zonecuts.ZoneCuts(directory, self.ingress, counts, log)
         self.streams: dict[str, peers.PeerStream] = {}
         self.known_until: dict[str, float] = {}
         self.left: dict[str, int] = {}
@@ -175,26 +177,21 @@
         for host in self.left.keys() - directory.peers.keys():
             del self.left[host]
         known = 1 + len(self.known_until)
-        cut_off = self.ingress.cut_off_zones(self._zone_of, now)
-        if cut_off:
-            self.streams = {
-                host: stream
-                for host, stream in self.streams.items()
-                if stream.zone not in cut_off
-            }
+        self.cuts.update(now)
+        self.streams = self.cuts.reached(self.streams, now)
         self.owners.update([self.own.host, *self.streams])
         self.owners.retain(self.ingress.uses)
         self.ingress.known_hosts = known
         # Two owners must not both count a host that reports to one of them,
-        # so only hosts that have a stream to this one as well count.
-        greeted = {stream.host for stream in directory.accepted_streams}
+        # so only hosts that this one can answer on their stream count.
+        greeted = {
+            stream.host
+            for stream in directory.accepted_streams
+            if stream.confirmed
+        }
         mutual = 1 + len(greeted & self.streams.keys())
         self.accounts.set_reachable(mutual, known, now)
 
-    def _zone_of(self, host: str) -> str:
-        peer = self.directory.peers.get(host)
-        return peer.record.availability_zone if peer is not None else ''
-
     def _owner_of(self, customer: str) -> quotas.Owner | None:
         host = self.owners.owner_of(customer)
         if host == self.own.host:
@@ -287,6 +284,8 @@
             # Its part of the rate is free, unlike that of a host cut off.
             self.left[stream.host] = stream.incarnation
             self.known_until.pop(stream.host, None)
+        elif isinstance(frame, frames.ZonesCutOff):
+            self.cuts.handle(stream, frame, deadlines.now())
         elif isinstance(frame, frames.QuotaDecision):
             owner = quotas.Owner(stream.host, stream.incarnation)
             if frame.retry_after_ms == frames.UNDECIDED:
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -336,6 +336,16 @@
     """The sender's process is about to end; it takes no more requests."""
 
 
+class ZonesCutOff(msgspec.Struct, array_like=True, tag=25):
+    """The sender takes availability zones for cut off; see ``zonecuts``."""
+
+    zones: list[str]
+
+
+class HelloReceived(msgspec.Struct, array_like=True, tag=26):
+    """The dialling side has received the other side's `Hello`."""
+
+
 Frame = (
     Dispatch
     | Cancel
@@ -361,6 +371,8 @@
     | QuotaRequest
     | QuotaDecision
     | Leaving
+    | ZonesCutOff
+    | HelloReceived
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -79,6 +79,8 @@
     :param incarnation: the peer's process; 0 until its `Hello` arrives.
     :param version: the peer's configuration version in its `Hello`.
     :param hosts_requested: whether the peer was asked which daemons it knows.
+    :param confirmed: whether the peer, which opened the stream, has received
+        the `Hello` of this side.
     :param sent_orders: orders that the peer has not settled, by number.
     :param received_orders: orders of the peer that are not settled yet.
     """
@@ -116,6 +118,7 @@
         self.on_run: Callable[[str, float], None] | None = None
         self.on_statement: StatementCallback | None = None
         self.hosts_requested = False
+        self.confirmed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -241,6 +244,8 @@
             pong = cast(frames.Pong, frame)
             self._report_load(pong.load, pong.failing)
             self.owner.handle_frame(self, frames.Version(pong.version))
+        elif kind is frames.HelloReceived:
+            self.confirmed = True
         elif kind is frames.Hello:
             self._hello_received(cast(frames.Hello, frame))
         else:
--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -24,6 +24,7 @@
 LOOPBACK_PREFIX = f'127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}'
 """Loopback prefix derived from the process id, so that concurrent test runs
 use different addresses."""
+FIRST_ZONE = 'hel-a'
 FIRST_PORT = 20_001
 PORTS_PER_PROXY = 5
 """Fixed ports below the ephemeral range: the system may give a port that was
@@ -183,7 +184,7 @@
     async def add(
         self,
         name: str,
-        zone: str = 'hel-a',
+        zone: str = FIRST_ZONE,
         service: str = 'register',
         slots: int = 4,
         link_mbps: float = 1000.0,
@@ -353,14 +354,15 @@
 
 @contextlib.asynccontextmanager
 async def pair(
+    second_zone: str = FIRST_ZONE,
     **setting_changes: Any,
 ) -> AsyncIterator[tuple[Mesh, Host, Host]]:
-    """Run two ready proxies of one service in one availability zone."""
+    """Run two ready proxies of one service, by default in one zone."""
     async with running() as mesh:
         mesh.setting_changes = setting_changes
         await mesh.kv.configure(config())
         first = await mesh.add('a')
-        second = await mesh.add('b')
+        second = await mesh.add('b', second_zone)
         await first.announce()
         await second.announce()
         await mesh.wait_ready()
--- a/testing/test_quota_streams.py
+++ b/testing/test_quota_streams.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import math
 
 import pytest
 
@@ -16,9 +17,9 @@
 
 
 @contextlib.asynccontextmanager
-async def limited_pair() -> AsyncIterator[
-    tuple[proxies.Mesh, proxies.Host, proxies.Host]
-]:
+async def limited_pair(
+    second_zone: str = proxies.FIRST_ZONE,
+) -> AsyncIterator[tuple[proxies.Mesh, proxies.Host, proxies.Host]]:
     """Run two proxies with a limited customer; its owner comes first."""
     tenant = {
         'name': QUOTA.name,
@@ -27,7 +28,7 @@
         'ratePerS': QUOTA.rate_per_s,
         'burst': QUOTA.burst,
     }
-    async with proxies.pair() as (mesh, *hosts):
+    async with proxies.pair(second_zone) as (mesh, *hosts):
         await mesh.kv.configure(proxies.config(2, tenants=[tenant]))
         await conditions.until(
             lambda: all(host.proxy.versions.version == 2 for host in hosts)
@@ -105,6 +106,52 @@
         await conditions.until(reported)
 
 
+async def test_owner_does_not_count_hosts_that_replaced_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two owners that both admit the whole rate.
+
+    One host takes the zone of the owner for cut off, since reports arrive
+    there and the answers do not; the owner still has streams both ways.
+    """
+    monkeypatch.setattr(hostquotas, 'MIN_SILENT_OWNERS', 1)
+    async with limited_pair('hel-b') as (_, owner, other):
+        replaced = owner.proxy.quotas.own
+        gate = other.proxy.quotas
+        gate.ingress.unanswered[replaced] = -math.inf
+        gate.ingress.answered.pop(replaced, None)
+        gate.tick(deadlines.now())
+        parts = [host.proxy.quotas.accounts for host in (owner, other)]
+        await conditions.until(
+            lambda: [one.fraction for one in parts] == [0.5, 0.5]
+        )
+
+
+async def test_owner_does_not_count_hosts_that_its_answers_do_not_reach(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two owners that both admit the whole rate.
+
+    The other host dials the owner again and does not get its hello, so that it
+    reports to another owner.
+    """
+    async with limited_pair('hel-b') as (_, owner, other):
+        accounts = owner.proxy.quotas.accounts
+        await conditions.until(lambda: accounts.fraction == 1.0)
+        monkeypatch.setattr(
+            other.proxy.directory, 'handle_hello', lambda *given: None
+        )
+        accepted = owner.proxy.directory.accepted_streams
+        before = set(accepted)
+        for stream in before:
+            stream.close()
+        await conditions.until(
+            lambda: any(stream.host for stream in accepted - before)
+        )
+        owner.proxy.quotas.tick(deadlines.now())
+        assert accounts.fraction == 0.5
+
+
 async def test_mesh_without_customers_sends_nothing_about_quotas() -> None:
     """Guards against cost in deployments that have no customers."""
     unlimited = quotas.Quota('unlimited', 0.0, 0.0)
