Soak: refusals beyond a lowered quota do not count as lost service

The check now counts, for each customer, the requests that such a bucket refuses, and leaves out at most that many 429. It is as strict for customers below their quota, and for refusals beyond that number (test cases).

--- a/testing/soak/customers.py
+++ b/testing/soak/customers.py
@@ -1,5 +1,7 @@
 """Customers of a run, and the credentials that its callers send."""
 
+import collections
+from collections.abc import Iterable
 import dataclasses
 import math
 import random
@@ -112,3 +114,31 @@
             if key not in one.holders and span.removed == math.inf:
                 spans[key] = dataclasses.replace(span, removed=one.stored)
     return spans
+
+
+def beyond_quota(
+    versions: list[Version], sent: Iterable[tuple[float, str]], start: float
+) -> collections.Counter[str]:
+    """Count requests since `start` that even an ideal bucket refuses.
+
+    The bucket of each customer has the quota of the last version and is full
+    at the first request.
+
+    :param sent: time and key of each request that needs a part of a quota.
+    :return: by customer.
+    """
+    rates = versions[-1].rates
+    spans = key_spans(versions)
+    levels: dict[str, tuple[float, float]] = {}
+    beyond: collections.Counter[str] = collections.Counter()
+    for at, key in sorted(sent):
+        name = spans[key].customer if key in spans else ''
+        rate = rates.get(name, 0.0)
+        if not rate:
+            continue
+        level, before = levels.get(name, (rate, at))
+        level = min(rate, level + rate * (at - before))
+        admitted = level >= 1.0
+        levels[name] = (level - admitted, at)
+        beyond[name] += not admitted and at > start
+    return beyond
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -297,6 +297,43 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('per_s', 'refused', 'broken'),
+    [
+        pytest.param(12, 15, False, id='beyond its quota'),
+        pytest.param(12, 40, True, id='more than are beyond it'),
+        pytest.param(6, 15, True, id='below its quota'),
+    ],
+)
+def test_only_refusals_beyond_a_quota_count_as_recovered(
+    per_s: int, refused: int, broken: bool
+) -> None:
+    """Guards against a recovery check that ignores the customers' quotas."""
+    start = 150.0
+    requests = [
+        make_request(
+            attempt=f'q{number}', sent=start + number / per_s, key='k'
+        )
+        for number in range(int((invariants.RECOVERY_S + 4.0) * per_s))
+    ]
+    for one in requests[-refused:]:
+        one.status, one.proof, one.body = 429, '', b''
+    observed = records.Records(
+        requests=requests,
+        executions=[
+            make_execution(attempt=one.attempt, at=one.sent)
+            for one in requests
+            if one.proof
+        ],
+        faults_ended_at=start - 0.01,
+        customer_versions=[
+            customers.Version(1.0, 1.0, {'k': 'small'}, {'small': 8.0})
+        ],
+    )
+    promises = [one.promise for one in invariants.check(observed)]
+    assert any('as before' in one for one in promises) is broken
+
+
 def test_seed_determines_the_faults() -> None:
     hosts = ['h1', 'h2']
     assert plan.generate_faults(5, 20.0, hosts) == plan.generate_faults(
