A stop during the start leaves no plan of the uplinks behind

Cause: the first record of the host schedules a plan; its timer was cancelled only where uplinks.running ends, which such a daemon has not entered. The plan ran after everything was closed and started the watch. Evidence: the 'relay on' line after the stop, then the traceback of StoreWatcher._run.

Change: joined() cancels the plan however far the start has come.

--- a/src/peridotpost/daemon/joining.py
+++ b/src/peridotpost/daemon/joining.py
@@ -39,10 +39,12 @@
         await stack.enter_async_context(
             sources.following(kernel.find('source', sources.StoreWatcher))
         )
+        # A change may schedule a plan before the uplinks run, and a stop
+        # during the start must not leave it.
+        uplink_manager = kernel.find('uplinks', uplinks.UplinkManager)
+        stack.callback(uplink_manager.close)
         await _read_initial_state(kernel)
-        await stack.enter_async_context(
-            uplinks.running(kernel.find('uplinks', uplinks.UplinkManager))
-        )
+        await stack.enter_async_context(uplinks.running(uplink_manager))
         member_discovery = discovery.MemberDiscovery(kernel)
         _subscribe_timers(kernel, member_discovery)
         await member_discovery.discover_members()
--- a/src/peridotpost/distribution/uplinks.py
+++ b/src/peridotpost/distribution/uplinks.py
@@ -79,11 +79,21 @@
         replica.changed.subscribe(self._schedule_replan)
 
     def _schedule_replan(self, change: replicas.FactChange) -> None:
-        if change.member is None or self.replan_timer is not None:
+        if (
+            change.member is None
+            or self.replan_timer is not None
+            or self.closing.is_set()
+        ):
             return
         loop = asyncio.get_running_loop()
         self.replan_timer = loop.call_later(REPLAN_DELAY_S, self.plan)
 
+    def close(self) -> None:
+        """Stop planning; what changes from now on has no effect."""
+        self.closing.set()
+        if self.replan_timer is not None:
+            self.replan_timer.cancel()
+
     def plan(self) -> None:
         """Compute the position in the tree and update the streams."""
         self.replan_timer = None
@@ -262,8 +272,6 @@
     try:
         yield uplinks
     finally:
-        uplinks.closing.set()
-        if uplinks.replan_timer is not None:
-            uplinks.replan_timer.cancel()
+        uplinks.close()
         running = [uplink.task for uplink in uplinks.by_name.values()]
         await tasks.cancel_and_wait(*running)
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -291,6 +291,26 @@
         assert bool(before.task.cancelling()) is (index != 0)
 
 
+async def test_stop_before_uplinks_run_leaves_no_plan(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a watch of the store that starts after a stop."""
+    monkeypatch.setattr(uplinks, 'REPLAN_DELAY_S', 0.0)
+    node = distribution_harness.Node('host')
+    ups = uplinks.UplinkManager(
+        node.replica, node.table, node.counts, 'z1', random.Random(1)
+    )
+    ups.dial = never_connecting_dial
+    planned = asyncio.Event()
+    ups.position_listeners.append(lambda position: planned.set())
+    node.add_records([distribution_harness.member('host')])
+    ups.close()
+    node.add_records([distribution_harness.member('other')])
+    for _ in range(3):
+        await asyncio.sleep(0)
+    assert not planned.is_set()
+
+
 @contextlib.asynccontextmanager
 async def never_connecting_dial(address: str) -> AsyncIterator[aio.Channel]:
     await asyncio.Event().wait()
