A connection that is refused after its cancellation is logged in one line

Second cause of 'Traceback' in the output of a stopped daemon (seen in 2 of 72 runs of test_daemon_waiting_for_the_store_stops_on_sigterm, with its text): Tornado logs 'Exception after Future was cancelled' with a traceback if a connect fails after its call was cancelled, as it is at SIGTERM.

Such errors of connections become a JSON line. Other errors that are logged so keep their traceback (test).

--- a/src/peridotpost/cli/common.py
+++ b/src/peridotpost/cli/common.py
@@ -12,6 +12,7 @@
 import click
 
 from peridotpost.border import document
+from peridotpost.kernel import logs
 from peridotpost.model import errors
 
 EXIT_OK = 0
@@ -23,6 +24,7 @@
 
 def run(main: Callable[[], Coroutine[Any, Any, int]]) -> None:
     """Run `main` in an event loop and exit with the code it returns."""
+    logs.shorten_late_errors()
     try:
         exit_code = asyncio.run(main())
     except document.DocumentError as error:
--- a/testing/test_operator_cli.py
+++ b/testing/test_operator_cli.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
+import concurrent.futures
 import contextlib
 import hashlib
 import http.server
@@ -19,9 +20,11 @@
 import click
 from click import testing as click_testing
 import pytest
+from tornado import concurrent as tornado_concurrent
 
 from peridotpost.cli import peridotctl
 from peridotpost.cli.subcommands import acceptance
+from peridotpost.kernel import logs
 from peridotpost.standins import mesh
 from testing import processes
 
@@ -427,6 +430,21 @@
 
 
 @pytest.mark.processes
+@pytest.mark.parametrize(
+    ('error', 'is_reported'),
+    [(ConnectionRefusedError(), False), (ValueError(), True)],
+)
+def test_connection_refused_after_its_cancellation_leaves_no_traceback(
+    error: Exception, is_reported: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a stop during a connection attempt that looks fatal."""
+    logs.shorten_late_errors()
+    future: concurrent.futures.Future[None] = concurrent.futures.Future()
+    future.cancel()
+    tornado_concurrent.future_set_exception_unless_cancelled(future, error)
+    assert bool(caplog.records) is is_reported
+
+
 def test_daemon_waiting_for_the_store_stops_on_sigterm(
     start_daemon: StartDaemon, tmp_path: pathlib.Path
 ) -> None:
