Tests: bounds back to their stated targets

Bounds of new tests had been moved after the tests failed (docs/proved.md):

- test_fairshare, first rank: .96 -> .97, passes.
- test_fairshare, gap of the lower rank: 1.2 times -> .15 more.
- test_experiment, hot customer in a fleet: 6 -> 9.3 times the usual rate, as the design states.
- test_quotas: the number of first attempts was compared with a bucket's.
A new test compares the very requests.

--- a/src/peridotpost/experiment/quotafleet.py
+++ b/src/peridotpost/experiment/quotafleet.py
@@ -511,14 +511,17 @@
     quota: quotas.Quota,
     since: float,
     until: float,
+    each: bool = False,
 ) -> float:
     """Return the first attempts admitted, by those within the quota.
 
     Within the quota are the requests that a token bucket admits that gets the
-    first attempts in the order of their arrival.  The number is compared, not
-    each request: at several times the rate, which request finds the bucket
-    full depends on delays of 0.5 ms.  A retry that is admitted does not count,
-    since it mostly misses its objective.
+    first attempts in the order of their arrival.  At several times the rate,
+    which request finds the bucket full depends on delays of 0.5 ms.  A retry
+    that is admitted does not count, since it mostly misses its objective.
+
+    :param each: whether only requests within the quota count as admitted;
+        otherwise the numbers are compared.
     """
     level = quota.burst
     at = 0.0
@@ -531,7 +534,8 @@
         level -= is_within
         if since <= at < until:
             within += is_within
-            admitted += one.admitted and not one.attempts
+            if is_within or not each:
+                admitted += one.admitted and not one.attempts
     return admitted / max(1, within)
 
 
--- a/testing/test_experiment.py
+++ b/testing/test_experiment.py
@@ -455,14 +455,14 @@
 def test_hot_customer_does_not_affect_others_in_the_fleet() -> None:
     """Guards against shares that a fleet's targets can't tell from samples.
 
-    One of 83 customers sends ten times its usual rate, which asks for 1.4
-    times the slots of 12 targets.
+    One of 83 customers sends 9.3 times its usual rate, so that all ask for
+    twice the slots of 12 targets.
     """
     scenario = light_load(
         services=[{'name': 's', 'targets': 12, 'slots': 6}],
         routes=[BASIC_ROUTE | {'per_s': 700, 'work_ms': 60}],
         customers=[40.0, 10.0, *([1.0] * 81)],
-        phases=[{'start_s': 1, 'end_s': 5, 'hot': [0], 'hot_factor': 6.0}],
+        phases=[{'start_s': 1, 'end_s': 5, 'hot': [0], 'hot_factor': 9.3}],
     )
     fair = play(scenario)
     unfair = play(scenario, fairshare__FAIR_SHARES=0)
--- a/testing/test_fairshare.py
+++ b/testing/test_fairshare.py
@@ -91,7 +91,7 @@
     monkeypatch.setattr(fairshare, 'FAIR_SHARES', 0)
     unfair = Target(hot_load, {})
     # The queue is longer than on a calm day until the higher demand is known.
-    assert fair.share(1) >= calm.share(1) - 0.015
+    assert fair.share(1) >= calm.share(1) - 0.01
     assert unfair.share(1) < 0.8
     assert sum(fair.in_time) > 0.98 * sum(unfair.in_time)
 
@@ -113,8 +113,8 @@
     and 3 for 4 and 0.5 slots of the next one, which gets what is left.
     """
     target = Target([3.0, 1.5, 4.0, 0.5], {0: 0, 1: 0})
-    assert target.share(0, 2) > 0.96
-    assert target.share(3) > 1.2 * target.share(2, 3)
+    assert target.share(0, 2) > 0.97
+    assert target.share(3) > target.share(2, 3) + 0.15
 
 
 def test_past_demand_is_forgotten_within_two_seconds() -> None:
--- a/testing/test_quotas.py
+++ b/testing/test_quotas.py
@@ -76,6 +76,25 @@
         assert part >= MIN_ADMITTED
 
 
+@pytest.mark.parametrize('name', ['hot customers', 'owner lost'])
+def test_requests_within_the_quota_are_admitted(name: str) -> None:
+    """Guards against refusing a request that the customer's quota covers."""
+    fleet = quotafleet.Fleet(SEEDS[0])
+    scenario = quotascenarios.SCENARIOS[name]
+    played = quotascenarios.demands(HOT_RATES, CALM_RATES, scenario.zones)
+    quotascenarios.play(scenario, fleet, played, HOT)
+    start = quotascenarios.RISE_AT
+    for one in played[:HOT]:
+        part = quotafleet.part_admitted(
+            one.requests,
+            one.quota,
+            start,
+            start + quotascenarios.HOT_S,
+            each=True,
+        )
+        assert part >= MIN_ADMITTED, one.quota
+
+
 def test_zone_cut_while_demand_rises_at_300_hosts() -> None:
     """Guards against hosts that notice too late that an owner is cut off.
 
