Owners count the hosts that may report to them, also after a start of all

Cause: an owner granted the part of the hosts with streams both ways, while all that had dialled it reported to it. Its check is unchanged.

--- a/src/peridotpost/mesh/quotas.py
+++ b/src/peridotpost/mesh/quotas.py
@@ -184,13 +184,15 @@
         self.ingress.known_hosts = known
         # Two owners must not both count a host that reports to one of them,
         # so only hosts that this one can answer on their stream count.
-        greeted = {
-            stream.host
-            for stream in directory.accepted_streams
-            if stream.confirmed
-        }
-        mutual = 1 + len(greeted & self.streams.keys())
-        self.accounts.set_reachable(mutual, known, now)
+        reporting = self.cuts.reached(
+            {
+                stream.host: stream
+                for stream in directory.accepted_streams
+                if stream.confirmed
+            },
+            now,
+        )
+        self.accounts.set_reachable(1 + len(reporting), known, now)
 
     def _owner_of(self, customer: str) -> quotas.Owner | None:
         host = self.owners.owner_of(customer)
