--- a/src/peridotpost/store/versions.py
+++ b/src/peridotpost/store/versions.py
@@ -136,7 +136,14 @@
                 text=raw.decode(),
             )
         )
-    except (ValueError, KeyError, TypeError, zlib.error) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        OverflowError,
+        RecursionError,
+        zlib.error,
+    ) as error:
         return result.Err(
             errors.StoreProtocolError(
                 f'value is not a valid version: {error}; accept a valid one',
--- a/testing/test_accept.py
+++ b/testing/test_accept.py
@@ -125,6 +125,26 @@
     assert 'not a valid version' in str(head.err_value)
 
 
+@pytest.mark.parametrize(
+    'value',
+    [
+        pytest.param(b'[' * 100_000, id='nested too deeply'),
+        pytest.param(None, id='number too large'),
+    ],
+)
+def test_version_that_cannot_be_decoded_is_an_error(
+    value: bytes | None,
+) -> None:
+    """Guards against a start that fails on what another client wrote."""
+    if value is None:
+        accepted = versions.AcceptedVersion(5, 1, 'id', 'a', '', 0.0, 4, 'x')
+        valid = versions.encode_version(accepted)
+        value = valid.replace(b'"number": 1', b'"number": 1e999')
+        assert value != valid
+    decoded = versions.decode_version(store.KeyValue('head', value, 1))
+    assert isinstance(decoded, result.Err)
+
+
 @pytest.mark.parametrize(
     ('lost', 'outcome'),
     [(0, versions.NotWritten), (1, versions.Undecided)],
