--- a/src/peridotpost/store/etcd.py
+++ b/src/peridotpost/store/etcd.py
@@ -340,7 +340,7 @@
         self.counts.add('store.unavailable')
         self._switch_endpoint(endpoint)
         return errors.StoreUnavailable(
-            f'{error or type(error).__name__}; the call may be retried',
+            f'{str(error) or type(error).__name__}; the call may be retried',
             step=f'store.{step}',
             peer=endpoint,
         )
--- a/testing/test_store_contract.py
+++ b/testing/test_store_contract.py
@@ -549,6 +549,13 @@
         assert isinstance(failed.unwrap_err(), errors.StoreUnavailable)
 
 
+async def test_error_without_a_message_names_its_type() -> None:
+    """Guards against a call that failed for no stated reason."""
+    async with open_etcd() as subject:
+        error = subject.store._unavailable_error('read', 'e', TimeoutError())
+    assert 'TimeoutError' in str(error)
+
+
 @pytest.mark.parametrize('dead', ['refusing', 'garbage'])
 async def test_calls_continue_at_the_next_endpoint(dead: str) -> None:
     # An endpoint that returned garbage was once never left, and two calls
