--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -69,6 +69,7 @@
         self.reading_stopped = False
         self.state_since = deadlines.now()
         self.reading_message = False
+        self.head_complete = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -93,11 +94,13 @@
             self._refuse(error)
 
     def head_read(self, message: http1.Message) -> None:
+        self.head_complete = True
         if message.expects_continue and self.transport is not None:
             self.transport.write(CONTINUE)
 
     def message_read(self, message: http1.Message) -> None:
         self.reading_message = False
+        self.head_complete = False
         message.method = self.parser.get_method()
         message.keep_alive = self.parser.should_keep_alive()
         if self.busy:
@@ -179,7 +182,7 @@
         limits = self.port.limits
         if self.reading_message:
             if now - self.state_since > limits.header_timeout_s + IDLE_SLACK_S:
-                if not self.reader.message.host:
+                if not self.head_complete:
                     self.close_after_response = True
                     self._respond(Reply(408))
         elif now - self.state_since > limits.idle_timeout_s + IDLE_SLACK_S:
--- a/testing/test_proxy_callers.py
+++ b/testing/test_proxy_callers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from peridotpost.model import forwarding
+from peridotpost.proxy import listener
 from testing import conditions
 from testing import proxies
 
@@ -209,3 +210,39 @@
             host.worker.release.set()
             await one.receive()
             await other.receive()
+
+
+async def test_caller_that_stalls_within_its_headers_is_timed_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against connections that stalled callers keep for ever."""
+    async with proxies.pair() as (_mesh, first, _second):
+        port = first.proxy.requests
+        async with first.caller() as caller:
+            caller.writer.write(
+                b'GET /read/ok HTTP/1.1\r\nHost: x\r\nAccept: */*\r\n'
+            )
+            await conditions.until(
+                lambda: any(one.reading_message for one in port.connections)
+            )
+            monkeypatch.setattr(listener, 'IDLE_SLACK_S', -3600.0)
+            port.close_timed_out()
+            assert (await caller.receive()).status == 408
+
+
+async def test_caller_with_a_slow_body_is_not_timed_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against applying the limit of headers to bodies."""
+    async with proxies.pair() as (_mesh, first, _second):
+        port = first.proxy.requests
+        async with first.caller() as caller:
+            caller.send('/write/ok', method='POST', Content_Length='1')
+            await conditions.until(
+                lambda: any(one.head_complete for one in port.connections)
+            )
+            monkeypatch.setattr(listener, 'IDLE_SLACK_S', -3600.0)
+            port.close_timed_out()
+            monkeypatch.undo()
+            caller.writer.write(b'x')
+            assert (await caller.receive()).status == 200
