--- a/src/peridotpost/border/loglines.py
+++ b/src/peridotpost/border/loglines.py
@@ -33,6 +33,8 @@
     :param zone: availability zone.
     :param source: where a configuration, or the news of a cut, came from.
     :param instance: instance of the target.
+    :param in_flight: requests that a leaving process still serves.
+    :param changed: whether reloaded settings differ from those in force.
     :param tried: hosts whose guards were asked, in this order.
     :param arrivals: how many of them passed the request to their target.
     :param left_ms: time left until the request's deadline.
@@ -72,6 +74,10 @@
     source: str = ''
     error: str = ''
     instance: str = ''
+    lease: int = 0
+    in_flight: int = 0
+    changed: bool = False
+    pid: int = 0
     tried: list[str] = []
     arrivals: int = 0
     elapsed_ms: int = 0
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -326,7 +326,7 @@
             call = self._validate_announcement(call)
         if isinstance(call, adapters.InvalidCall):
             self.counts.add('announcements.unusable')
-            self.log.request('announcement', to='refused', why=call.detail)
+            self.log.request('announcement', to='refused', reason=call.detail)
             respond(listener.Reply(call.status))
             return
         if isinstance(call, adapters.Departure):
--- a/testing/test_reports.py
+++ b/testing/test_reports.py
@@ -15,6 +15,7 @@
 from peridotpost.proxy import customerusage
 from peridotpost.reports import customeruse
 from peridotpost.reports import explanation
+from testing import conditions
 from testing import proxies
 from testing import test_customers
 
@@ -274,3 +275,19 @@
     fields = report.log_fields()
     assert fields['usage'][0]['customer'] == customerusage.OTHER
     assert len(fields['usage']) == customerreport.MAX_LOGGED
+
+
+async def test_state_lines_keep_all_their_fields(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against logs of which the reports leave a part out."""
+    async with proxies.running() as mesh:
+        mesh.logs = tmp_path
+        host = await mesh.add('a')
+        assert await host.announce(state='unheard of') == 400
+        await conditions.until(lambda: host.proxy.feed.record_written)
+    lines = loglines.read_directory(tmp_path).lines
+    (refused,) = (one for one in lines if one.event == 'announcement')
+    assert 'state' in refused.reason
+    (record,) = (one for one in lines if one.event == 'record')
+    assert record.lease > 0
