--- a/testing/test_reports.py
+++ b/testing/test_reports.py
@@ -288,6 +288,6 @@
         await conditions.until(lambda: host.proxy.feed.record_written)
     lines = loglines.read_directory(tmp_path).lines
     (refused,) = (one for one in lines if one.event == 'announcement')
-    assert 'state' in refused.reason
+    assert 'unheard of' in refused.reason
     (record,) = (one for one in lines if one.event == 'record')
     assert record.lease > 0
--- a/testing/test_store_contract.py
+++ b/testing/test_store_contract.py
@@ -552,6 +552,7 @@
 async def test_error_without_a_message_names_its_type() -> None:
     """Guards against a call that failed for no stated reason."""
     async with open_etcd() as subject:
+        assert isinstance(subject.store, etcd.EtcdStore)
         error = subject.store._unavailable_error('read', 'e', TimeoutError())
     assert 'TimeoutError' in str(error)
 
