Only two followers of a zone renew their watches every 1.8 s

Hosts of a zone tell each other of new versions, so it is enough that two of them notice a lost watch in time. These leaders, the first by name, tell the others of each answer, which makes them current as well; the others wait 4 s as before. The tests that set the wait of a watch set both waits now.

--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -24,9 +24,12 @@
 
 A watch that is lost on its way looks like one without changes.  So a daemon
 takes its configuration for current only if the store, or a follower that is
-current, confirmed it within ``CONFIRMED_FOR_S``.
+current, confirmed it within ``CONFIRMED_FOR_S``.  Calls to the store are
+limited for the whole fleet; so only ``LEADERS_PER_ZONE`` followers of a zone
+renew their watches that often, and tell the others of each answer.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import math
 
@@ -34,6 +37,12 @@
 FOLLOWER_TIMEOUT_S = 2.0
 """Longer than two heartbeats, so that two may be lost."""
 HEARTBEAT_S = 0.8
+WATCH_S = 4.0
+LEADER_WATCH_S = 1.8
+"""How long watches of followers wait in the store.  An answer to a leader
+confirms the version of its zone for ``CONFIRMED_FOR_S``."""
+LEADERS_PER_ZONE = 2
+"""One of them may be lost."""
 CONFIRMED_FOR_S = 2.0
 """How long a follower's configuration counts as current after an answer of
 the store: the time in which a version has to be in force everywhere."""
@@ -42,6 +51,14 @@
 """Longer than a heartbeat, at which each daemon checks whether to read."""
 
 
+def leads(host: str, others: Iterable[str]) -> bool:
+    """Whether a follower is one of the leaders of its zone.
+
+    :param others: the other followers of the zone that it reaches.
+    """
+    return sum(other < host for other in others) < LEADERS_PER_ZONE
+
+
 @dataclasses.dataclass(slots=True)
 class StoreReadPolicy:
     """Decides for one daemon when it reads the store.
@@ -56,7 +73,7 @@
         last began to read.
     :param read_ended_at: when this daemon last read the configuration.
     :param confirmed_at: when a read or a watch of the configuration was last
-        answered.
+        answered, to this daemon or to a leader of its zone.
     """
 
     link_mbps: float
@@ -123,7 +140,7 @@
         return any(now - at <= FOLLOWER_TIMEOUT_S for at in confirmations)
 
     def note_confirmed(self, now: float) -> None:
-        """Record that the store answered a read or a watch."""
+        """Record that the store confirmed the version in force."""
         self.confirmed_at = now
 
     def note_store_state(self, answers: bool, now: float) -> None:
--- a/src/peridotpost/mesh/countedfeed.py
+++ b/src/peridotpost/mesh/countedfeed.py
@@ -27,9 +27,11 @@
         self._count('read-config')
         return await self.feed.read_config()
 
-    async def next_config(self, revision: int) -> storefeed.ConfigRead:
+    async def next_config(
+        self, revision: int, wait_s: float
+    ) -> storefeed.ConfigRead:
         self._count('watch')
-        return await self.feed.next_config(revision)
+        return await self.feed.next_config(revision, wait_s)
 
     async def read_records(
         self, stale: bool
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -13,6 +13,7 @@
 import random
 from typing import Protocol
 
+from peridotpost.decisions import following
 from peridotpost.kernel import counters
 from peridotpost.kernel import hooks
 from peridotpost.kernel import jsonlog
@@ -70,8 +71,8 @@
     async def read_config(self) -> ConfigRead:
         """Return the current configuration."""
 
-    async def next_config(self, revision: int) -> ConfigRead:
-        """Return the changes after `revision`; wait for one a few seconds.
+    async def next_config(self, revision: int, wait_s: float) -> ConfigRead:
+        """Return the changes after `revision`; wait for one up to `wait_s`.
 
         The result has neither a configuration nor orders if none came.
         """
@@ -161,10 +162,11 @@
                 revision = read.revision
                 pause_s = MIN_RETRY_PAUSE_S
                 self._set_reachable(True, '')
-                self.versions.read_policy.note_confirmed(deadlines.now())
                 self._handle_orders(read)
                 if read.raw is not None:
                     self.versions.offer(read.raw, 'store')
+                self.versions.confirm()
+                if read.raw is not None:
                     await asyncio.sleep(BATCH_PAUSE_S)
             except errors.StoreCompacted:
                 # The missed changes are gone; read everything at once.
@@ -190,7 +192,9 @@
 
         :raises StoreError: if the watch fails.
         """
-        watch = asyncio.ensure_future(self.feed.next_config(revision))
+        leads = self.versions.leads_zone()
+        wait_s = following.LEADER_WATCH_S if leads else following.WATCH_S
+        watch = asyncio.ensure_future(self.feed.next_config(revision, wait_s))
         store_returned = asyncio.ensure_future(self.store_returned.wait())
         try:
             await asyncio.wait(
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -154,6 +154,19 @@
                 self._version_frame(), slow_only=True
             )
 
+    def leads_zone(self) -> bool:
+        """Whether this daemon is a leader of the followers of its zone."""
+        return not self.read_policy.has_slow_link and following.leads(
+            self.directory.own_record.host, self.directory.zone_followers()
+        )
+
+    def confirm(self) -> None:
+        """Note that the store confirmed the version; a leader tells it."""
+        self.read_policy.note_confirmed(deadlines.now())
+        if self.version and self.leads_zone():
+            frame = frames.Version(self.version, True, confirmed=True)
+            self.directory.broadcast_to_zone(frame)
+
     def note_store_state(self, reachable: bool) -> None:
         """Record whether the store answers; announce it to peers if not."""
         followed = self.read_policy.follows_store
@@ -189,6 +202,8 @@
         elif frame.following is False and not remote_zone:
             self.read_policy.note_follower_lost(stream.host)
         if frame.version <= self.version:
+            if frame.confirmed and not remote_zone:
+                self.read_policy.note_confirmed(deadlines.now())
             return
         if not self.version:
             self._schedule_first_fetch(stream, frame.version)
--- a/src/peridotpost/platform/store.py
+++ b/src/peridotpost/platform/store.py
@@ -25,10 +25,6 @@
 READ_TIMEOUT_S = 3.0
 """Timeout of a configuration read, which may be megabytes on a slow link."""
 CONNECT_TIMEOUT_S = 0.5
-WATCH_WAIT_MS = 1800
-"""How long a watch waits in the store.  A watch or its answer may be lost
-without an error, so the wait is shorter than ``following.CONFIRMED_FOR_S``: an
-answer confirms the configuration for that long."""
 WATCH_TIMEOUT_MARGIN_S = 0.4
 MS_IN_S = 1000
 ItemT = TypeVar('ItemT')
@@ -89,14 +85,16 @@
         result = await self._range({'prefix': OPERATOR_PREFIX}, READ_TIMEOUT_S)
         return _config_read_from(result.items, result.at)
 
-    async def next_config(self, revision: int) -> storefeed.ConfigRead:
+    async def next_config(
+        self, revision: int, wait_s: float
+    ) -> storefeed.ConfigRead:
         query = {
             'prefix': OPERATOR_PREFIX,
             'after': str(revision),
-            'waitMs': str(WATCH_WAIT_MS),
+            'waitMs': str(int(wait_s * MS_IN_S)),
         }
         target = f'/-/kv-watch?{parse.urlencode(query)}'.encode()
-        timeout_s = WATCH_WAIT_MS / MS_IN_S + WATCH_TIMEOUT_MARGIN_S
+        timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
         response = await self._call(
             self.watch_client, b'GET', target, b'', timeout_s
         )
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -162,10 +162,13 @@
     :param following: whether the sender reads the store and reached it
         recently; None if not stated.  A sender with a slow link states it
         only as True, when it begins a read.
+    :param confirmed: whether the store has just answered the sender that
+        there is no newer version.
     """
 
     version: int
     following: bool | None = None
+    confirmed: bool = False
 
 
 class Fetch(msgspec.Struct, array_like=True, tag=9):
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -161,3 +161,15 @@
     one.note_follower('fast', 5.0)
     one.note_follower_lost('fast')
     assert not one.is_current(5.0)
+
+
+def test_two_hosts_lead_the_followers_of_a_zone() -> None:
+    """Guards against watches of all hosts, and against none in time."""
+    hosts = ['h1', 'h2', 'h3', 'h4']
+    leaders = [
+        host
+        for host in hosts
+        if following.leads(host, [one for one in hosts if one != host])
+    ]
+    assert leaders == ['h1', 'h2']
+    assert following.leads('h4', ['h1'])
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -51,7 +51,7 @@
         await kv.configure({'version': 1})
         await kv.put('op/config-of-another', b'x')
         await kv.configure({'version': 2})
-        read = await client.next_config(first.revision)
+        read = await client.next_config(first.revision, 4.0)
         assert read.raw == b'{"version": 2}'
         assert read.revision == kv.revision
 
@@ -97,7 +97,7 @@
         await kv.configure({'version': 1})
         await kv.compact()
         with pytest.raises(errors.StoreCompacted):
-            await client.next_config(read.revision)
+            await client.next_config(read.revision, 4.0)
 
 
 async def test_unanswered_call_times_out_and_the_next_one_works(
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -8,6 +8,7 @@
 from peridotpost.decisions import following
 from peridotpost.mesh import directory as directories
 from peridotpost.mesh import storefeed
+from peridotpost.mesh import versions
 from peridotpost.model import errors
 from peridotpost.platform import store
 from testing import conditions
@@ -267,6 +268,12 @@
     return all(host.proxy.versions.version == version for host in hosts)
 
 
+def set_watch_time(monkeypatch: pytest.MonkeyPatch, wait_s: float) -> None:
+    """Set how long the watches of all followers wait in the store."""
+    monkeypatch.setattr(following, 'WATCH_S', wait_s)
+    monkeypatch.setattr(following, 'LEADER_WATCH_S', wait_s)
+
+
 async def test_watch_lost_in_an_outage_is_resent_after_it(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -277,7 +284,7 @@
     calls showed that the store is back, and callers got 404 for the new
     route meanwhile.
     """
-    monkeypatch.setattr(store, 'WATCH_WAIT_MS', 60_000)
+    set_watch_time(monkeypatch, 60.0)
     monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.1)
     monkeypatch.setattr(storefeed, 'RENEW_INTERVAL_S', 0.1)
     async with proxies.pair() as (mesh, first, second):
@@ -298,8 +305,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against 404 for a route whose version a lost watch missed."""
-    monkeypatch.setattr(store, 'WATCH_WAIT_MS', 60_000)
-    monkeypatch.setattr(following, 'CONFIRMED_FOR_S', 0.0, raising=False)
+    set_watch_time(monkeypatch, 60.0)
+    monkeypatch.setattr(following, 'CONFIRMED_FOR_S', 0.0)
     async with proxies.pair() as (_mesh, first, _second):
         answer = await first.ask('/added-later/ok')
         assert answer.status == 503
@@ -312,15 +319,38 @@
     """Guards against a version that is late because one watch was lost.
 
     A host that was undisrupted for `UNDISRUPTED_S` applies each version within
-    `VERSION_APPLY_S`, and its last watch may be lost as the disruption ends.
+    `VERSION_APPLY_S`, and all watches of its zone may be lost as the
+    disruption ends.
     """
-    noticed_s = store.WATCH_WAIT_MS / 1000 + store.WATCH_TIMEOUT_MARGIN_S
+    noticed_s = following.LEADER_WATCH_S + store.WATCH_TIMEOUT_MARGIN_S
     read_s = 1.25 * storefeed.MIN_RETRY_PAUSE_S
-    assert noticed_s + read_s < invariants.UNDISRUPTED_S
-    assert store.WATCH_WAIT_MS / 1000 < following.CONFIRMED_FOR_S
+    fetched_s = versions.FETCH_DELAY_S
+    assert noticed_s + read_s + fetched_s < invariants.UNDISRUPTED_S
+    assert following.LEADER_WATCH_S < following.CONFIRMED_FOR_S
     assert following.CONFIRMED_FOR_S <= invariants.VERSION_APPLY_S
 
 
+async def test_leaders_confirm_the_version_to_their_zone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against hosts of a zone that are current only after own calls."""
+    monkeypatch.setattr(following, 'LEADERS_PER_ZONE', 1)
+    monkeypatch.setattr(following, 'LEADER_WATCH_S', 0.02)
+    async with proxies.pair() as (_mesh, first, second):
+        await conditions.until(
+            lambda: bool(second.proxy.directory.zone_followers())
+        )
+        assert first.proxy.versions.leads_zone()
+        assert not second.proxy.versions.leads_zone()
+        policy = second.proxy.versions.read_policy
+        await conditions.until(
+            lambda: second.proxy.counts.totals['store.calls.watch'] == 1
+        )
+        before = policy.confirmed_at
+        await conditions.until(lambda: policy.confirmed_at > before)
+        assert second.proxy.counts.totals['store.calls.watch'] == 1
+
+
 async def test_configuration_is_read_after_a_failed_watch(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -331,7 +361,7 @@
     answered either.  Callers of a whole zone got 404 for the new route until
     a ping of a remote zone announced it, 4.3 s after the write.
     """
-    monkeypatch.setattr(store, 'WATCH_WAIT_MS', 100)
+    set_watch_time(monkeypatch, 0.1)
     async with proxies.pair() as (mesh, first, second):
         mesh.kv.hang_watches = True
         await mesh.kv.configure(proxies.config(2))
