Two followers of the whole fleet renew their watches every 1.5 s

The leaders are now the first two followers by name that a host reaches, in any zone, and tell all hosts of each answer; zones that are cut off have leaders of their own. Hosts of other zones fetch .7 s later, so their watches wait 1.5 s: in force again within 2.9 s (test).

--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -25,8 +25,9 @@
 A watch that is lost on its way looks like one without changes.  So a daemon
 takes its configuration for current only if the store, or a follower that is
 current, confirmed it within ``CONFIRMED_FOR_S``.  Calls to the store are
-limited for the whole fleet; so only ``LEADERS_PER_ZONE`` followers of a zone
-renew their watches that often, and tell the others of each answer.
+limited for the whole fleet; so only ``LEADERS`` followers renew their watches
+that often, and tell all daemons of each answer.  Daemons that are cut off
+from them have leaders of their own.
 """
 
 from collections.abc import Iterable
@@ -38,10 +39,10 @@
 """Longer than two heartbeats, so that two may be lost."""
 HEARTBEAT_S = 0.8
 WATCH_S = 4.0
-LEADER_WATCH_S = 1.8
+LEADER_WATCH_S = 1.5
 """How long watches of followers wait in the store.  An answer to a leader
-confirms the version of its zone for ``CONFIRMED_FOR_S``."""
-LEADERS_PER_ZONE = 2
+confirms the version of all daemons for ``CONFIRMED_FOR_S``."""
+LEADERS = 2
 """One of them may be lost."""
 CONFIRMED_FOR_S = 2.0
 """How long a follower's configuration counts as current after an answer of
@@ -52,11 +53,11 @@
 
 
 def leads(host: str, others: Iterable[str]) -> bool:
-    """Whether a follower is one of the leaders of its zone.
+    """Whether a follower is one of the leaders.
 
-    :param others: the other followers of the zone that it reaches.
+    :param others: the other followers that it reaches.
     """
-    return sum(other < host for other in others) < LEADERS_PER_ZONE
+    return sum(other < host for other in others) < LEADERS
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,7 +74,7 @@
         last began to read.
     :param read_ended_at: when this daemon last read the configuration.
     :param confirmed_at: when a read or a watch of the configuration was last
-        answered, to this daemon or to a leader of its zone.
+        answered, to this daemon or to a leader.
     """
 
     link_mbps: float
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -172,15 +172,14 @@
         live = sum(peer.stream is not None for peer in self.peers.values())
         return 1 + live
 
-    def zone_followers(self) -> list[str]:
-        """Return the connected hosts of the own zone with fast links."""
+    def followers(self) -> list[str]:
+        """Return the connected hosts with fast links."""
         return [
             host
             for host, peer in self.peers.items()
             if peer.stream is not None
             and peer.stream.incarnation
             and not peer.stream.has_slow_link
-            and not self.is_remote_zone(peer.stream.zone)
         ]
 
     # Host records.
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -192,7 +192,7 @@
 
         :raises StoreError: if the watch fails.
         """
-        leads = self.versions.leads_zone()
+        leads = self.versions.leads()
         wait_s = following.LEADER_WATCH_S if leads else following.WATCH_S
         watch = asyncio.ensure_future(self.feed.next_config(revision, wait_s))
         store_returned = asyncio.ensure_future(self.store_returned.wait())
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -116,8 +116,8 @@
         self.log.state(
             'config', before=before, version=config.version, source=source
         )
-        # Remote zones learn of it from the next ping: they have the store and
-        # each other, and traffic between zones is billed.
+        # Remote zones learn of it from leaders or the next ping: they have the
+        # store and each other, and traffic between zones is billed.
         self.directory.broadcast_to_zone(self._version_frame())
         return True
 
@@ -154,18 +154,18 @@
                 self._version_frame(), slow_only=True
             )
 
-    def leads_zone(self) -> bool:
-        """Whether this daemon is a leader of the followers of its zone."""
+    def leads(self) -> bool:
+        """Whether this daemon is a leader of the followers."""
         return not self.read_policy.has_slow_link and following.leads(
-            self.directory.own_record.host, self.directory.zone_followers()
+            self.directory.own_record.host, self.directory.followers()
         )
 
     def confirm(self) -> None:
         """Note that the store confirmed the version; a leader tells it."""
         self.read_policy.note_confirmed(deadlines.now())
-        if self.version and self.leads_zone():
+        if self.version and self.leads():
             frame = frames.Version(self.version, True, confirmed=True)
-            self.directory.broadcast_to_zone(frame)
+            self.directory.broadcast(frame)
 
     def note_store_state(self, reachable: bool) -> None:
         """Record whether the store answers; announce it to peers if not."""
@@ -202,7 +202,7 @@
         elif frame.following is False and not remote_zone:
             self.read_policy.note_follower_lost(stream.host)
         if frame.version <= self.version:
-            if frame.confirmed and not remote_zone:
+            if frame.confirmed:
                 self.read_policy.note_confirmed(deadlines.now())
             return
         if not self.version:
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -163,7 +163,7 @@
     assert not one.is_current(5.0)
 
 
-def test_two_hosts_lead_the_followers_of_a_zone() -> None:
+def test_two_hosts_lead_the_followers() -> None:
     """Guards against watches of all hosts, and against none in time."""
     hosts = ['h1', 'h2', 'h3', 'h4']
     leaders = [
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -319,29 +319,29 @@
     """Guards against a version that is late because one watch was lost.
 
     A host that was undisrupted for `UNDISRUPTED_S` applies each version within
-    `VERSION_APPLY_S`, and all watches of its zone may be lost as the
-    disruption ends.
+    `VERSION_APPLY_S`, and the watches of all may be lost as the disruption
+    ends.
     """
     noticed_s = following.LEADER_WATCH_S + store.WATCH_TIMEOUT_MARGIN_S
     read_s = 1.25 * storefeed.MIN_RETRY_PAUSE_S
-    fetched_s = versions.FETCH_DELAY_S
+    fetched_s = versions.REMOTE_ZONE_FETCH_DELAY_S
     assert noticed_s + read_s + fetched_s < invariants.UNDISRUPTED_S
     assert following.LEADER_WATCH_S < following.CONFIRMED_FOR_S
     assert following.CONFIRMED_FOR_S <= invariants.VERSION_APPLY_S
 
 
-async def test_leaders_confirm_the_version_to_their_zone(
+async def test_leaders_confirm_the_version_to_all(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against hosts of a zone that are current only after own calls."""
-    monkeypatch.setattr(following, 'LEADERS_PER_ZONE', 1)
+    """Guards against hosts that are current only after calls of their own."""
+    monkeypatch.setattr(following, 'LEADERS', 1)
     monkeypatch.setattr(following, 'LEADER_WATCH_S', 0.02)
-    async with proxies.pair() as (_mesh, first, second):
+    async with proxies.pair('hel-b') as (_mesh, first, second):
         await conditions.until(
-            lambda: bool(second.proxy.directory.zone_followers())
+            lambda: bool(second.proxy.directory.followers())
         )
-        assert first.proxy.versions.leads_zone()
-        assert not second.proxy.versions.leads_zone()
+        assert first.proxy.versions.leads()
+        assert not second.proxy.versions.leads()
         policy = second.proxy.versions.read_policy
         await conditions.until(
             lambda: second.proxy.counts.totals['store.calls.watch'] == 1
