--- a/src/peridotpost/decisions/zonecuts.py
+++ b/src/peridotpost/decisions/zonecuts.py
@@ -5,13 +5,14 @@
 until then an owner that is not reached and its successor would both admit the
 whole rate of the hosts that they count.
 
-- A host whose owners in a zone are mostly silent takes the zone for cut off
-  and says so to all hosts, unless it is the host itself that gets no answers.
-- A host with little demand has no overdue report yet.  It follows when enough
-  other hosts said so and nobody in the zone has just answered it.
-- A host that was told that its own zone counts as cut off does not count the
-  sender as reachable either.  So no host counts at two owners, even if
-  messages still pass in one direction.
+- A host that gets no answers from most owners in a zone treats the zone as cut
+  off and reports this to all hosts.  If it gets no answers from other zones
+  either, it may be cut off itself and reports only to that zone.
+- A host with little demand has no overdue answer yet.  It follows the reports
+  of a quorum, unless the zone has just answered it.
+- A host whose own zone is reported does not count the reporting host as
+  reachable, so that no host counts at two owners even if messages still pass
+  in one direction.
 - All of this ends after ``HOLD_S``; the streams are closed by then.
 """
 
@@ -41,21 +42,23 @@
         self.separated_until: dict[str, float] = {}
 
     def observe(self, silent: Iterable[str], now: float) -> None:
-        """Note the zones whose owners are silent to this host."""
+        """Record the zones whose owners do not answer this host."""
         for zone in silent:
             if zone != self.own_zone:
                 self.until_by_zone[zone] = now + HOLD_S
 
-    def told(self, host: str, zones: Iterable[str], now: float) -> None:
-        """Note the zones that another host takes for cut off."""
+    def note_report(self, host: str, zones: Iterable[str], now: float) -> None:
+        """Record the zones that another host treats as cut off."""
         for zone in zones:
             if zone == self.own_zone:
                 self.separated_until[host] = now + HOLD_S
             else:
                 self.witnesses.setdefault(zone, {})[host] = now
 
-    def follow(self, known: int, answering: Set[str], now: float) -> None:
-        """Follow the reports of other hosts.
+    def follow_reports(
+        self, known: int, answering: Set[str], now: float
+    ) -> None:
+        """Treat zones as cut off that a quorum of hosts reported.
 
         :param known: how many hosts are known.
         :param answering: zones that have just answered this host.
@@ -73,13 +76,12 @@
             ):
                 self.until_by_zone[zone] = now + HOLD_S
 
-    def tells_all(
+    def should_broadcast(
         self, new: Set[str], known: int, answering: Set[str]
     ) -> bool:
-        """Whether all hosts are told of new zones, not only those in them.
+        """Whether to report new zones to all hosts, not only to those zones.
 
-        A host that nobody answers may be the one that is cut off, and enough
-        reports of others need no further one.
+        Not needed if a quorum has reported them already.
         """
         missing = any(
             len(self.witnesses.get(zone, {})) < self._quorum(known)
@@ -92,7 +94,7 @@
         return {zone for zone, end in self.until_by_zone.items() if now < end}
 
     def separated_hosts(self, now: float) -> set[str]:
-        """Return the hosts that take this one for cut off."""
+        """Return the hosts that treat the zone of this one as cut off."""
         return {
             host for host, end in self.separated_until.items() if now < end
         }
--- a/src/peridotpost/experiment/quotafleet.py
+++ b/src/peridotpost/experiment/quotafleet.py
@@ -389,20 +389,20 @@
         before = cuts.zones(self.now)
         answering = host.gate.answering_zones(zone_of, self.now)
         cuts.observe(host.gate.silent_zones(zone_of, self.now), self.now)
-        cuts.follow(len(self.names), answering, self.now)
+        cuts.follow_reports(len(self.names), answering, self.now)
         new = cuts.zones(self.now) - before
         if not new:
             return
-        tells_all = cuts.tells_all(new, len(self.names), answering)
+        to_all = cuts.should_broadcast(new, len(self.names), answering)
         for other in sorted(self.names - {host.name}):
-            if tells_all or self.zone_of[other] in new:
+            if to_all or self.zone_of[other] in new:
                 told = functools.partial(self._told_of_cut, host, other, new)
                 self._send(host, other, CUT_BYTES, told)
 
     def _told_of_cut(self, sender: Host, to: str, zones: set[str]) -> None:
         host = self.hosts.get(to)
         if host is not None:
-            host.cuts.told(sender.name, zones, self.now)
+            host.cuts.note_report(sender.name, zones, self.now)
             self._update_view(to, host)
 
     def _schedule_tick(self, name: str, host: Host) -> None:
--- a/src/peridotpost/mesh/quotas.py
+++ b/src/peridotpost/mesh/quotas.py
@@ -178,13 +178,13 @@
             del self.left[host]
         known = 1 + len(self.known_until)
         self.cuts.update(known, now)
-        self.streams = self.cuts.reached(self.streams, now)
+        self.streams = self.cuts.reachable_streams(self.streams, now)
         self.owners.update([self.own.host, *self.streams])
         self.owners.retain(self.ingress.uses)
         self.ingress.known_hosts = known
         # Two owners must not both count a host that reports to one of them,
         # so only hosts that this one can answer on their stream count.
-        reporting = self.cuts.reached(
+        reporting = self.cuts.reachable_streams(
             {
                 stream.host: stream
                 for stream in directory.accepted_streams
--- a/src/peridotpost/mesh/zonecuts.py
+++ b/src/peridotpost/mesh/zonecuts.py
@@ -30,7 +30,7 @@
         self.cuts = zonecuts.ZoneCuts(directory.own_record.availability_zone)
         self.known = 1
 
-    def reached(
+    def reachable_streams(
         self, streams: dict[str, peers.PeerStream], now: float
     ) -> dict[str, peers.PeerStream]:
         """Return the streams to hosts that are not cut off on either side."""
@@ -55,7 +55,7 @@
         answering = self.ingress.answering_zones(self._zone_of, now)
         silent = self.ingress.silent_zones(self._zone_of, now)
         self.cuts.observe(silent, now)
-        self.cuts.follow(known, answering, now)
+        self.cuts.follow_reports(known, answering, now)
         new = self.cuts.zones(now) - before
         if not new:
             return False
@@ -66,10 +66,10 @@
                 to='cut-off',
                 source='own' if zone in silent else 'peers',
             )
-        tells_all = self.cuts.tells_all(new, known, answering)
+        to_all = self.cuts.should_broadcast(new, known, answering)
         frame = frames.ZonesCutOff(sorted(new))
         for stream in self.directory.streams():
-            if stream.zone in new or (tells_all and stream.dialled):
+            if stream.zone in new or (to_all and stream.dialled):
                 self.counts.add('quotas.messages')
                 stream.send(frame)
         return True
@@ -82,7 +82,7 @@
             self.cuts.own_zone in frame.zones
         ):
             self.log.state('zone', peer=stream.host, to='separated')
-        self.cuts.told(stream.host, frame.zones, now)
+        self.cuts.note_report(stream.host, frame.zones, now)
         return self.update(self.known, now)
 
     def _zone_of(self, host: str) -> str:
--- a/testing/test_quotas.py
+++ b/testing/test_quotas.py
@@ -206,9 +206,9 @@
     """Guards against hosts that notice late, or believe a single host."""
     cuts = zonecuts.ZoneCuts('a')
     for number in range(witnesses):
-        cuts.told(f'h{number}', ['b'], 1.0)
-        cuts.told(f'h{number}', ['b'], 1.0)
-    cuts.follow(82, answering, 1.2)
+        cuts.note_report(f'h{number}', ['b'], 1.0)
+        cuts.note_report(f'h{number}', ['b'], 1.0)
+    cuts.follow_reports(82, answering, 1.2)
     assert cuts.zones(1.2) == expected
     assert not cuts.zones(1.2 + zonecuts.HOLD_S)
     assert not cuts.separated_hosts(1.2)
@@ -217,9 +217,9 @@
 def test_old_reports_of_a_cut_are_not_followed() -> None:
     """Guards against following two short losses, seconds apart."""
     cuts = zonecuts.ZoneCuts('a')
-    cuts.told('h1', ['b'], 1.0)
-    cuts.told('h2', ['b'], 1.1 + zonecuts.WITNESS_S)
-    cuts.follow(82, set(), 1.1 + zonecuts.WITNESS_S)
+    cuts.note_report('h1', ['b'], 1.0)
+    cuts.note_report('h2', ['b'], 1.1 + zonecuts.WITNESS_S)
+    cuts.follow_reports(82, set(), 1.1 + zonecuts.WITNESS_S)
     assert not cuts.zones(1.1 + zonecuts.WITNESS_S)
 
 
@@ -229,8 +229,8 @@
     cuts.observe(['a', 'b', 'c'], 1.0)
     new = cuts.zones(1.0)
     assert new == {'b', 'c'}
-    assert not cuts.tells_all(new, 82, set())
-    assert cuts.tells_all({'b'}, 82, {'c'})
+    assert not cuts.should_broadcast(new, 82, set())
+    assert cuts.should_broadcast({'b'}, 82, {'c'})
 
 
 def test_owner_in_a_part_of_the_fleet_serves_customers_of_that_part() -> None:
