History that hosts report to a new owner is no demand

Cause: hosts report to a new owner what they admitted in the last window, and it counted as demand. While hosts come to it one after the other, this looks like a rise, which is extrapolated.

Change: history counts as use only.

--- a/src/peridotpost/decisions/quotaaccount.py
+++ b/src/peridotpost/decisions/quotaaccount.py
@@ -133,8 +133,8 @@
         for age, admitted in enumerate(use.history):
             if age < len(self.used):
                 self.used[-1 - age] += admitted
-            # What was admitted is the least that was asked for.
-            self._add_demand(now - age * quotas.HISTORY_SLOT_S, admitted)
+            # Not demand: hosts that report here one after the other, and
+            # each with its history, would look like a rise.
         self._add_demand(now, use.asked)
         if use.retries > 0:
             self._add_retries(now, use.retries)
