Logs and metrics tell who admits retries and who confirms versions

Guards log 'retries' once a second while requests are retried, daemons log 'leader'; lines of requests and the metrics tell the age of the version's confirmation. No decision changes: FAILURE_RETRY_SHARE applies to the same figure as before, written as a part of the guard's limit.

--- a/src/peridotpost/decisions/budget.py
+++ b/src/peridotpost/decisions/budget.py
@@ -49,6 +49,19 @@
     targets: int = 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetUse:
+    """State of a retry budget, for logs and metrics.
+
+    :param limit: retries that the target accepts in the window.
+    """
+
+    retries: float
+    first_arrivals: int
+    targets: int
+    limit: float
+
+
 class RetryBudget:
     """Limits the retries that one target accepts.
 
@@ -74,18 +87,27 @@
         current = self._current_slice(now)
         # A partitioned host sees few targets; its part must not grow by that.
         current.targets = max(current.targets, targets)
-        first_arrivals = sum(one.first_arrivals for one in self.slices)
-        most_targets = max(one.targets for one in self.slices)
-        allowed = self.ratio * first_arrivals + self.extra / most_targets
+        use = self.use(now)
         if retry_cause is forwarding.RetryCause.AFTER_FAILURE:
             after_failure = sum(
                 one.retries_after_failure for one in self.slices
             )
-            if after_failure + 1 > FAILURE_RETRY_SHARE * allowed:
+            failure_limit = use.limit * FAILURE_RETRY_SHARE / GUARD_SHARE
+            if after_failure + 1 > failure_limit:
                 return False
-        return (
-            sum(one.retries for one in self.slices) + 1
-            <= GUARD_SHARE * allowed
+        return use.retries + 1 <= use.limit
+
+    def use(self, now: float) -> BudgetUse:
+        """Return what the window that ends now has used of its limit."""
+        self._current_slice(now)
+        first_arrivals = sum(one.first_arrivals for one in self.slices)
+        most_targets = max(one.targets for one in self.slices)
+        part = self.ratio * first_arrivals + self.extra / most_targets
+        return BudgetUse(
+            sum(one.retries for one in self.slices),
+            first_arrivals,
+            most_targets,
+            GUARD_SHARE * part,
         )
 
     def sent(
--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -133,12 +133,21 @@
         if not self.has_slow_link or self.store_reachable is False:
             return (
                 self.follows_store
-                and now - self.confirmed_at <= CONFIRMED_FOR_S
+                and self.confirmed_age_s(now) <= CONFIRMED_FOR_S
             )
+        return self.confirmed_age_s(now) <= FOLLOWER_TIMEOUT_S
+
+    def confirmed_age_s(self, now: float) -> float:
+        """Return the time since the version was confirmed.
+
+        It is infinite if it never was.
+        """
+        if not self.has_slow_link:
+            return now - self.confirmed_at
         confirmations = [*self.last_heard_by_host.values()]
         if self.read_ended_at is not None:
             confirmations.append(self.read_ended_at)
-        return any(now - at <= FOLLOWER_TIMEOUT_S for at in confirmations)
+        return now - max(confirmations, default=-math.inf)
 
     def note_confirmed(self, now: float) -> None:
         """Record that the store confirmed the version in force."""
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -170,6 +170,7 @@
         )
         self.metrics = metrics.Metrics(self.counts, self, self.customers)
         self.forwarder.completion.observe = self._observe
+        self.forwarder.log.confirmed_age_s = read_policy.confirmed_age_s
         self.guard.reachability.crashed.subscribe(self._handle_own_crash)
         self.directory.frame_received.subscribe(self._handle_frame)
         for name in (
@@ -247,6 +248,14 @@
         )
         age = deadlines.now() - self.versions.applied_at
         yield gauge('config_age_seconds', 'Time since it came', age)
+        confirmed_age_s = self.versions.read_policy.confirmed_age_s(
+            deadlines.now()
+        )
+        yield gauge(
+            'config_confirmed_age_seconds',
+            'Time since the store confirmed it',
+            confirmed_age_s,
+        )
         yield gauge(
             'members', 'Daemons reached', self.directory.member_count()
         )
@@ -259,6 +268,10 @@
             'Requests per second that it accepts; -1 without a limit',
             -1.0 if limit_per_s is None else limit_per_s,
         )
+        use = self.guard.budget.use(deadlines.now())
+        yield gauge('retries_in_window', 'Retries of its window', use.retries)
+        yield gauge('retries_limit', 'Retries that it may admit', use.limit)
+        yield gauge('retries_targets', 'Targets that share them', use.targets)
         in_flight = self.forwarder.completion.in_flight
         yield gauge('requests_in_flight', 'Requests of callers', in_flight)
         stage = self.releases.own_stage()
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -71,6 +71,7 @@
         self.frames_by_base: dict[int, frames.Config | frames.ConfigDelta] = {}
         self.applied_at = deadlines.now()
         self.first_fetch_at = -FIRST_FETCH_RETRY_S
+        self.leading = False
         self.followed_again: hooks.Hook[str] = hooks.Hook('followed-again')
         directory.frame_received.subscribe(self._handle_frame)
         directory.stream_greeted.subscribe(self._greet)
@@ -163,7 +164,11 @@
     def confirm(self) -> None:
         """Note that the store confirmed the version; a leader tells it."""
         self.read_policy.note_confirmed(deadlines.now())
-        if self.version and self.leads():
+        leading = bool(self.version) and self.leads()
+        if leading != self.leading:
+            self.leading = leading
+            self.log.state('leader', leads=leading, version=self.version)
+        if leading:
             frame = frames.Version(self.version, True, confirmed=True)
             self.directory.broadcast(frame)
 
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -58,6 +58,7 @@
         self.header_names = header_names
         self.deadline_timer = deadline_timer
         self.budget = retry_budget
+        self.retry_log = guardlog.RetryLog(log, retry_budget)
         self.target_count: Callable[[], int] = lambda: 1
         self.counts = counts
         self.log = log
@@ -355,6 +356,7 @@
         self.counts.add('target.requests')
         if order.retry_cause:
             self.counts.add('requests.repeated')
+            self.retry_log.note(order.service, admitted=True)
         self.running[order] = connection
         self.speed.started(order, now)
         self.running_by_attempt[order.attempt_id] = order
@@ -385,6 +387,7 @@
 
     def _refuse_retry(self, order: forwarding.Order) -> None:
         self.counts.add('requests.no-retry-budget')
+        self.retry_log.note(order.service, admitted=False)
         order.settle(forwarding.Refused(forwarding.Refusal.NO_RETRY_BUDGET))
 
     def _run_finished(
--- a/src/peridotpost/proxy/requestlog.py
+++ b/src/peridotpost/proxy/requestlog.py
@@ -1,6 +1,7 @@
 """Log lines of an ingress, one per decision on a request."""
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 from peridotpost.decisions import attempts
@@ -20,6 +21,8 @@
     """Logs decisions; a line is only built if the log's budget allows it.
 
     :param config: returns the current configuration, None before the first.
+    :ivar confirmed_age_s: returns the time since the store confirmed that no
+        newer configuration exists; infinite if it never did.
     """
 
     def __init__(
@@ -29,6 +32,7 @@
     ) -> None:
         self.log = log
         self.config = config
+        self.confirmed_age_s: Callable[[float], float] = lambda now: math.inf
 
     def answered(self, exchange: exchanges.Exchange, status: int) -> None:
         """Log a target's response; successful ones once a second at most."""
@@ -79,6 +83,7 @@
             reason=reason,
             target=message.target[:MAX_LOGGED_TARGET_BYTES].decode('latin-1'),
             version=self._version(),
+            confirmed_ms=self._confirmed_ms(),
         )
 
     def denied(
@@ -103,6 +108,7 @@
             route=route.name,
             retry_after_ms=round(denial.problem.retry_after_s * 1000),
             version=self._version(),
+            confirmed_ms=self._confirmed_ms(),
             **fields,
         )
 
@@ -110,6 +116,11 @@
         config = self.config()
         return config.version if config is not None else 0
 
+    def _confirmed_ms(self) -> int | None:
+        """Return the age of the version's last confirmation, if any."""
+        age_s = self.confirmed_age_s(deadlines.now())
+        return None if math.isinf(age_s) else round(age_s * 1000)
+
     def _fields(
         self,
         exchange: exchanges.Exchange,
@@ -129,6 +140,7 @@
             'elapsed_ms': round((now - exchange.started) * 1000),
             'left_ms': round((exchange.deadline - now) * 1000),
             'version': self._version(),
+            'confirmed_ms': self._confirmed_ms(),
         }
         if exchange.customer:
             fields['customer'] = exchange.customer
