Restarted guards do not use the extra retries of a window again

Cause: a guard loses its counts with its process, and the next process was granted the whole of its part of 'extra' at once, often divided by the one target that it knew so far. GUARD_SHARE left 30% of 'extra' for one restart.

Change: in its first window a guard is granted (1 - GUARD_SHARE) of its part, in proportion to its running time. With GUARD_SHARE that earlier processes may have used, any number of restarts within a window use the part once. Nothing changes for a guard that runs for a window or longer, nor for retries earned by first arrivals. Counts told by peers after the restart were not chosen: peers may be restarted too.

Tests of hedges need retries right after a start and are given guards that run for a window (Host.grant_extra_retries); what they assert is unchanged.

--- a/src/peridotpost/decisions/budget.py
+++ b/src/peridotpost/decisions/budget.py
@@ -11,6 +11,9 @@
 of the sum of `ratio` times its own first arrivals and one target's part of
 `extra`.
 
+- A guard that restarts has lost its counts.  In its first window it is granted
+  only what is left beside `GUARD_SHARE`, and by its running time, so that any
+  number of restarts in a window use that part of `extra` once.
 - A retry after an answer that reports a failure uses at most
   ``FAILURE_RETRY_SHARE``: most of these failures stem from calls that the run
   made, and a retry makes all of those calls again.
@@ -21,11 +24,12 @@
 
 import collections
 import dataclasses
+import math
 
 from peridotpost.model import forwarding
 
 GUARD_SHARE = 0.7
-"""The rest covers guards that restart and lose their counts."""
+"""The rest is for guards that restarted and lost their counts."""
 FAILURE_RETRY_SHARE = 0.2
 WINDOW_SLICES = 10
 """Slices of the sliding window; counts expire up to one slice late."""
@@ -67,12 +71,21 @@
 
     :param ratio: retries per request, over the fleet.
     :param extra: additional retries per window, over the fleet.
+    :param started_at: when this guard began to count.
     """
 
-    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        extra: float,
+        window_s: float,
+        started_at: float = -math.inf,
+    ) -> None:
         self.ratio = ratio
         self.extra = extra
+        self.window_s = window_s
         self.slice_s = window_s / WINDOW_SLICES
+        self.started_at = started_at
         self.slices: collections.deque[WindowSlice] = collections.deque()
 
     def admits(
@@ -102,14 +115,25 @@
         self._current_slice(now)
         first_arrivals = sum(one.first_arrivals for one in self.slices)
         most_targets = max(one.targets for one in self.slices)
-        part = self.ratio * first_arrivals + self.extra / most_targets
+        extra = self._extra_share(now) * self.extra / most_targets
         return BudgetUse(
             sum(one.retries for one in self.slices),
             first_arrivals,
             most_targets,
-            GUARD_SHARE * part,
+            GUARD_SHARE * self.ratio * first_arrivals + extra,
         )
 
+    def _extra_share(self, now: float) -> float:
+        """Return the share of one target's part of `extra` that is granted.
+
+        Processes that ran before on this host may have used `GUARD_SHARE` of
+        it in the same window, and any number of them share the rest.
+        """
+        up_s = now - self.started_at
+        if up_s >= self.window_s:
+            return GUARD_SHARE
+        return (1 - GUARD_SHARE) * up_s / self.window_s
+
     def sent(
         self,
         retry_cause: forwarding.RetryCause,
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -101,6 +101,7 @@
                 settings.retries.ratio,
                 settings.retries.extra,
                 settings.retries.window_s,
+                deadlines.now(),
             ),
             self.counts,
             self.log,
--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 import os
 import pathlib
 from typing import Any
@@ -121,6 +122,10 @@
         async with self.caller() as caller:
             return await caller.ask(path, **given)
 
+    def grant_extra_retries(self) -> None:
+        """Let the guard grant the retries of one that runs for a window."""
+        self.proxy.guard.budget.started_at = -math.inf
+
     async def ask_until_run_by(self, target: 'Host') -> None:
         """Send reads until another host's target has run one more."""
         before = len(target.worker.runs)
