Guards divide the extra retries by all targets, not by those they reach

Hosts that are cut off from each other still serve their callers. Each divided 'extra' by the targets that it reached: after the window in which it had known the others, and at once where it had started since, n such guards granted up to n times what the fleet may use.

Change: peers count while they are known, connected or not, and also before they have sent their service. A daemon that has neither read the members' records nor heard of any peer grants no part of 'extra', only retries that first arrivals earn. Too high a count lowers a guard's part, which callers notice less than targets notice retries beyond the bound.

test_cut_off_target_keeps_its_part_of_the_budget: 1 of 2 targets before; test_guard_that_knows_no_members_divides_no_budget: 1 instead of unknown.

--- a/src/peridotpost/decisions/budget.py
+++ b/src/peridotpost/decisions/budget.py
@@ -43,14 +43,15 @@
     :param retries: retries, including the inherited share of first arrivals.
     :param retries_after_failure: retries after an answer that reported a
         failure.
-    :param targets: largest known number of targets of the service.
+    :param targets: largest known number of targets of the service; 0 if none
+        is known.
     """
 
     number: int
     first_arrivals: int = 0
     retries: float = 0.0
     retries_after_failure: int = 0
-    targets: int = 1
+    targets: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,17 +90,21 @@
         self.slices: collections.deque[WindowSlice] = collections.deque()
 
     def admits(
-        self, retry_cause: forwarding.RetryCause, targets: int, now: float
+        self,
+        retry_cause: forwarding.RetryCause,
+        targets: int | None,
+        now: float,
     ) -> bool:
         """Whether a request may be sent to the target now.
 
-        :param targets: number of known targets of the service.
+        :param targets: number of known targets of the service; None if it is
+            unknown, so that no part of `extra` is granted.
         """
         if retry_cause is forwarding.RetryCause.NONE:
             return True
         current = self._current_slice(now)
-        # A partitioned host sees few targets; its part must not grow by that.
-        current.targets = max(current.targets, targets)
+        # A host that forgets others that are cut off keeps its part.
+        current.targets = max(current.targets, targets or 0)
         use = self.use(now)
         if retry_cause is forwarding.RetryCause.AFTER_FAILURE:
             after_failure = sum(
@@ -115,7 +120,9 @@
         self._current_slice(now)
         first_arrivals = sum(one.first_arrivals for one in self.slices)
         most_targets = max(one.targets for one in self.slices)
-        extra = self._extra_share(now) * self.extra / most_targets
+        extra = 0.0
+        if most_targets:
+            extra = self._extra_share(now) * self.extra / most_targets
         return BudgetUse(
             sum(one.retries for one in self.slices),
             first_arrivals,
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -84,6 +84,7 @@
         self.accepted_streams: set[peers.PeerStream] = set()
         self.version = 0
         self.has_slow_link = False
+        self.records_read = False
         self.leaving = False
         self.frame_received: hooks.Hook[ReceivedFrame] = hooks.Hook('notice')
         self.stream_greeted: hooks.Hook[peers.PeerStream] = hooks.Hook('met')
@@ -158,11 +159,18 @@
     def running_order(self, attempt_id: bytes) -> forwarding.Order | None:
         return self.guard.running_by_attempt.get(attempt_id)
 
-    def service_target_count(self) -> int:
-        """Return the number of targets of the own target's service."""
+    def service_target_count(self) -> int | None:
+        """Return the number of targets of the own target's service.
+
+        It includes hosts that are cut off, which may still serve, and those
+        that have not sent their service yet.  None if no member of the fleet
+        is known: the others may be cut off since this daemon started.
+        """
+        if not self.peers and not self.records_read:
+            return None
         service = self.own_candidate.service
         others = sum(
-            peer.candidate.service == service and peer.stream is not None
+            peer.candidate.service == service or not peer.status_known
             for peer in self.peers.values()
         )
         return 1 + others
@@ -186,6 +194,7 @@
 
     def update_records(self, records: Iterable[instances.HostRecord]) -> None:
         """Update the peers from the complete list of records."""
+        self.records_read = True
         recorded_hosts = {entry.host for entry in records}
         now = deadlines.now()
         for host, peer in self.peers.items():
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -43,7 +43,8 @@
 class Guard:
     """Manages the slots, queue and connections of one target.
 
-    :param target_count: returns the number of targets of this service.
+    :param target_count: returns the number of targets of this service; None
+        if it is unknown.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         self.deadline_timer = deadline_timer
         self.budget = retry_budget
         self.retry_log = guardlog.RetryLog(log, retry_budget)
-        self.target_count: Callable[[], int] = lambda: 1
+        self.target_count: Callable[[], int | None] = lambda: 1
         self.counts = counts
         self.log = log
         self.instances = incarnations.InstanceTracker()
--- a/testing/test_budget_restarts.py
+++ b/testing/test_budget_restarts.py
@@ -1,4 +1,4 @@
-"""Retry budgets of a service whose guards restart."""
+"""Retry budgets of a service whose guards restart or are cut off."""
 
 import bisect
 import collections
@@ -9,6 +9,8 @@
 
 from peridotpost.decisions import budget
 from peridotpost.model import forwarding
+from testing import conditions
+from testing import proxies
 
 RATIO = 0.2
 EXTRA = 60.0
@@ -176,3 +178,32 @@
         guard.sent(LATER, 0.0, now)
         admitted += 1
     return admitted
+
+
+async def test_cut_off_target_keeps_its_part_of_the_budget() -> None:
+    """Guards against guards that divide the budget by the targets they reach.
+
+    Hosts that are cut off from each other still serve, so that each of them
+    would admit the retries of all.
+    """
+    async with proxies.pair() as (_mesh, first, second):
+        directory = first.proxy.directory
+        assert directory.service_target_count() == 2
+        second.proxy.directory.close()
+        await conditions.until(lambda: directory.peers['b'].stream is None)
+        assert directory.service_target_count() == 2
+
+
+async def test_guard_that_knows_no_members_divides_no_budget() -> None:
+    """Guards against a restart without the store that takes all of it."""
+    async with proxies.running() as mesh:
+        mesh.kv.status = 503
+        host = await mesh.add('a')
+        assert host.proxy.directory.service_target_count() is None
+        guard = host.proxy.guard.budget
+        guard.started_at -= WINDOW_S
+        assert not guard.admits(LATER, None, guard.started_at + WINDOW_S)
+        mesh.kv.status = 0
+        await conditions.until(
+            lambda: host.proxy.directory.service_target_count() == 1
+        )
