A watch that is renewed confirms no version

A daemon whose other calls show that the store is back renews its watch, since the old one may be lost. It took that for an answer to the watch: it confirmed its version, to all daemons if it leads, and for 2 s they would answer 404 and 401 with certainty though nothing had ruled out a newer version.

test_renewed_watch_confirms_no_version fails before.

--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -158,7 +158,10 @@
                 if not revision:
                     read = await self.feed.read_config()
                 else:
-                    read = await self._next_config(revision)
+                    changes = await self._next_config(revision)
+                    if changes is None:
+                        continue
+                    read = changes
                 revision = read.revision
                 pause_s = MIN_RETRY_PAUSE_S
                 self._set_reachable(True, '')
@@ -182,13 +185,14 @@
                 await self._wait_after_failure(pause_s)
                 pause_s = min(MAX_RETRY_PAUSE_S, 1.5 * pause_s)
 
-    async def _next_config(self, revision: int) -> ConfigRead:
-        """Wait for a change; restart the watch when the store is back.
+    async def _next_config(self, revision: int) -> ConfigRead | None:
+        """Wait for a change; return None if the watch has to be renewed.
 
         A watch sent while the store was silent was never received.  Until
         its timeout it looks like one without changes, and a version written
         meanwhile would be in force seconds late on all hosts.  The other
-        calls are short and show when the store answers again.
+        calls are short and show when the store answers again; the watch is then
+        renewed.
 
         :raises StoreError: if the watch fails.
         """
@@ -203,7 +207,7 @@
             if watch.done():
                 return watch.result()
             self.counts.add('store.watch-renewed')
-            return ConfigRead(None, revision)
+            return None
         finally:
             await tasks.cancel_and_wait(watch, store_returned)
 
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -301,6 +301,26 @@
             await conditions.until(functools.partial(_is_in_force, host, 3))
 
 
+async def test_renewed_watch_confirms_no_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against 404 for a route that only the renewed watch would show.
+
+    A watch is renewed because it was perhaps lost, which no answer of the
+    store has ruled out yet.
+    """
+    async with proxies.pair() as (mesh, first, _second):
+        feed, policy = first.proxy.feed, first.proxy.versions.read_policy
+        mesh.kv.hang = True
+        await mesh.kv.configure(proxies.config(2))
+        await conditions.until(lambda: mesh.kv.unanswered_watches() >= 2)
+        before = policy.confirmed_at
+        feed.store_returned.set()
+        feed.store_returned.clear()
+        await conditions.until(lambda: mesh.kv.unanswered_watches() >= 3)
+        assert policy.confirmed_at == before
+
+
 async def test_unknown_route_is_not_final_while_the_watch_is_unanswered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
