Followers renew unconfirmed watches, and replace leaders that are silent

Versions came into force late where the zone of both leaders was cut off: all watches were lost in a silence of the store of .5 s just after a version, and with the leaders gone the others waited for their own for 5.4 s. The same held for leaders that the store does not answer: they stay connected and count as leaders for the others.

Cause: only the leaders' own watches, of 1.5 s, noticed a loss. Nobody watched the leaders.

Change: a follower that hears of no answer of the store for 1.7 to 1.9 s renews its watch with a short wait, which confirms the version or returns the next one, and takes leaders that did not confirm for silent until they do; the next two by name lead. Leaders' watches wait 1.4 s, and after a version .4 s less, so that calm followers do not renew. Any follower that the store answers is thus current within 2 s, whatever becomes of the others.

--- a/src/peridotpost/decisions/following.py
+++ b/src/peridotpost/decisions/following.py
@@ -26,10 +26,15 @@
 takes its configuration for current only if the store, or a follower that is
 current, confirmed it within ``CONFIRMED_FOR_S``.  Calls to the store are
 limited for the whole fleet; so only ``LEADERS`` followers renew their watches
-that often, and tell all daemons of each answer.  Daemons that are cut off
-from them have leaders of their own.
+that often, and tell all daemons of each answer.
+
+The leaders may be cut off, lose the store or end, all of them at once.  A
+follower that hears of no answer in time renews its own watch at once, which
+was perhaps lost as well, and no longer counts the silent ones as leaders until
+they confirm again.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -39,11 +44,15 @@
 """Longer than two heartbeats, so that two may be lost."""
 HEARTBEAT_S = 0.8
 WATCH_S = 5.0
-LEADER_WATCH_S = 1.5
+LEADER_WATCH_S = 1.4
 """How long watches of followers wait in the store.  An answer to a leader
 confirms the version of all daemons for ``CONFIRMED_FOR_S``."""
+RENEW_WATCH_AFTER_S = (1.7, 1.9)
+"""Time without a confirmation after which a follower renews its watch, drawn
+anew each time: the first ones to do so confirm the version to the others."""
+RENEWED_WATCH_S = 0.05
+"""How long a renewed watch waits, since it is to confirm the version soon."""
 LEADERS = 2
-"""One of them may be lost."""
 CONFIRMED_FOR_S = 2.0
 """How long a follower's configuration counts as current after an answer of
 the store: the time in which a version has to be in force everywhere."""
@@ -52,12 +61,12 @@
 """Longer than a heartbeat, at which each daemon checks whether to read."""
 
 
-def leads(host: str, others: Iterable[str]) -> bool:
-    """Whether a follower is one of the leaders.
+def leaders(followers: Iterable[str], silent: Collection[str]) -> list[str]:
+    """Return the followers that confirm the version to all daemons.
 
-    :param others: the other followers that it reaches.
+    :param silent: hosts that should have confirmed it and did not.
     """
-    return sum(other < host for other in others) < LEADERS
+    return sorted(host for host in followers if host not in silent)[:LEADERS]
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +84,8 @@
     :param read_ended_at: when this daemon last read the configuration.
     :param confirmed_at: when a read or a watch of the configuration was last
         answered, to this daemon or to a leader.
+    :param confirmed_by_host: when each leader last told of such an answer.
+    :param silent_hosts: hosts that should lead and have not confirmed in time.
     """
 
     link_mbps: float
@@ -88,6 +99,10 @@
     peer_read_at: float = -FOLLOWER_TIMEOUT_S
     read_ended_at: float | None = None
     confirmed_at: float = -math.inf
+    confirmed_by_host: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    silent_hosts: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def has_slow_link(self) -> bool:
@@ -153,6 +168,39 @@
         """Record that the store confirmed the version in force."""
         self.confirmed_at = now
 
+    def note_leader(self, host: str, now: float) -> None:
+        """Record that a host announced an answer of the store to it."""
+        self.confirmed_by_host[host] = now
+        self.silent_hosts.discard(host)
+
+    def leads(self, host: str, others: Collection[str]) -> bool:
+        """Whether this daemon is a leader of the followers.
+
+        :param host: its name.
+        :param others: the other followers that it reaches.
+        """
+        if self.has_slow_link:
+            return False
+        return host in leaders([host, *others], self.silent_hosts)
+
+    def note_unconfirmed(
+        self, host: str, others: Collection[str], now: float
+    ) -> None:
+        """Record that the leaders have not confirmed the version in time.
+
+        :param host: the name of this daemon.
+        :param others: the other followers that it reaches.
+        """
+        self.silent_hosts.intersection_update(others)
+        leading = leaders([host, *others], self.silent_hosts)
+        self.silent_hosts.update(
+            other
+            for other in leading
+            if other != host
+            and now - self.confirmed_by_host.get(other, -math.inf)
+            >= RENEW_WATCH_AFTER_S[0]
+        )
+
     def note_store_state(self, answers: bool, now: float) -> None:
         """Record whether the store answers this daemon."""
         if answers and self.store_reachable is False:
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -139,6 +139,7 @@
         self.store_returned = asyncio.Event()
         self.registered = asyncio.Event()
         self.calls_failing = False
+        self.renewed = False
         self.release_ordered: hooks.Hook[release.ReleaseOrder] = hooks.Hook(
             'ordered'
         )
@@ -190,26 +191,52 @@
 
         A watch sent while the store was silent was never received.  Until
         its timeout it looks like one without changes, and a version written
-        meanwhile would be in force seconds late on all hosts.  The other
-        calls are short and show when the store answers again; the watch is then
-        renewed.
+        meanwhile would be in force seconds late on all hosts.  It is renewed
+        when other calls show that the store answers again, or if no leader
+        has confirmed the version in time.
 
         :raises StoreError: if the watch fails.
         """
-        leads = self.versions.leads()
-        wait_s = following.LEADER_WATCH_S if leads else following.WATCH_S
-        watch = asyncio.ensure_future(self.feed.next_config(revision, wait_s))
-        store_returned = asyncio.ensure_future(self.store_returned.wait())
+        watch = asyncio.ensure_future(
+            self.feed.next_config(revision, self._watch_wait_s())
+        )
+        waits = [watch, asyncio.ensure_future(self.store_returned.wait())]
+        if not self.renewed:
+            waits.append(asyncio.ensure_future(self._unconfirmed()))
         try:
-            await asyncio.wait(
-                {watch, store_returned}, return_when=asyncio.FIRST_COMPLETED
-            )
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            self.renewed = not watch.done()
             if watch.done():
                 return watch.result()
             self.counts.add('store.watch-renewed')
             return None
         finally:
-            await tasks.cancel_and_wait(watch, store_returned)
+            await tasks.cancel_and_wait(*waits)
+
+    def _watch_wait_s(self) -> float:
+        """Return how long the next watch waits in the store."""
+        if self.renewed:
+            return following.RENEWED_WATCH_S
+        if not self.versions.leads():
+            return following.WATCH_S
+        # The pause after a version is a part of the interval between answers.
+        age_s = self.versions.read_policy.confirmed_age_s(deadlines.now())
+        return max(
+            following.RENEWED_WATCH_S,
+            following.LEADER_WATCH_S - min(age_s, BATCH_PAUSE_S),
+        )
+
+    async def _unconfirmed(self) -> None:
+        """Return when nothing has confirmed the version in time."""
+        policy = self.versions.read_policy
+        limit_s = self.randomness.uniform(*following.RENEW_WATCH_AFTER_S)
+        while True:
+            left_s = limit_s - policy.confirmed_age_s(deadlines.now())
+            if left_s <= 0:
+                break
+            await asyncio.sleep(left_s)
+        self.versions.note_unconfirmed()
+        self.log.state('watch', to='renewed', unconfirmed_s=round(limit_s, 2))
 
     def _note_call_result(self, answered: bool) -> None:
         """Record whether calls other than the watch are answered."""
--- a/src/peridotpost/mesh/versions.py
+++ b/src/peridotpost/mesh/versions.py
@@ -157,10 +157,18 @@
 
     def leads(self) -> bool:
         """Whether this daemon is a leader of the followers."""
-        return not self.read_policy.has_slow_link and following.leads(
+        return self.read_policy.leads(
             self.directory.own_record.host, self.directory.followers()
         )
 
+    def note_unconfirmed(self) -> None:
+        """Note that nothing confirmed the version in time."""
+        self.read_policy.note_unconfirmed(
+            self.directory.own_record.host,
+            self.directory.followers(),
+            deadlines.now(),
+        )
+
     def confirm(self) -> None:
         """Note that the store confirmed the version; a leader tells it."""
         self.read_policy.note_confirmed(deadlines.now())
@@ -206,6 +214,8 @@
                 self.followed_again.fire(stream.host)
         elif frame.following is False and not remote_zone:
             self.read_policy.note_follower_lost(stream.host)
+        if frame.confirmed:
+            self.read_policy.note_leader(stream.host, deadlines.now())
         if frame.version <= self.version:
             if frame.confirmed:
                 self.read_policy.note_confirmed(deadlines.now())
--- a/testing/test_following.py
+++ b/testing/test_following.py
@@ -1,5 +1,7 @@
 """When a daemon with a slow link reads the store itself."""
 
+from collections.abc import Iterable
+
 from peridotpost.decisions import following
 
 HEARTBEAT_S = following.HEARTBEAT_S
@@ -165,11 +167,57 @@
 
 def test_two_hosts_lead_the_followers() -> None:
     """Guards against watches of all hosts, and against none in time."""
-    hosts = ['h1', 'h2', 'h3', 'h4']
-    leaders = [
+    assert leading(fast_hosts()) == ['h1', 'h2']
+    assert fast_hosts()['h4'].leads('h4', ['h1'])
+    assert not slow().leads('h0', ['h1'])
+
+
+def fast_hosts() -> dict[str, following.StoreReadPolicy]:
+    """Return four hosts that follow the store, by name."""
+    return {
+        f'h{number}': following.StoreReadPolicy(1000.0, start=0.0)
+        for number in range(1, 5)
+    }
+
+
+def others(hosts: Iterable[str], host: str) -> list[str]:
+    return [one for one in hosts if one != host]
+
+
+def leading(hosts: dict[str, following.StoreReadPolicy]) -> list[str]:
+    """Return the hosts that take themselves for leaders."""
+    return [
         host
-        for host in hosts
-        if following.leads(host, [one for one in hosts if one != host])
+        for host, policy in hosts.items()
+        if policy.leads(host, others(hosts, host))
     ]
-    assert leaders == ['h1', 'h2']
-    assert following.leads('h4', ['h1'])
+
+
+def test_silent_leaders_are_replaced_until_they_confirm_again() -> None:
+    """Guards against leaders that the store does not answer.
+
+    They are still connected to the others, which would have no leader.
+    """
+    hosts = fast_hosts()
+    for host, policy in hosts.items():
+        policy.note_unconfirmed(host, others(hosts, host), 2.0)
+    assert leading(hosts) == ['h1', 'h2', 'h3', 'h4']
+    # h1 and h2 never hear of an answer, h3 and h4 do.
+    for host, policy in hosts.items():
+        for leader in others(['h3', 'h4'], host):
+            policy.note_leader(leader, 2.1)
+    assert {'h3', 'h4'} <= set(leading(hosts))
+    for policy in hosts.values():
+        policy.note_leader('h1', 5.0)
+        policy.note_leader('h2', 5.0)
+    assert leading(hosts) == ['h1', 'h2']
+
+
+def test_leader_that_confirms_is_not_taken_for_silent() -> None:
+    """Guards against a second leader for each host that missed one answer."""
+    hosts = fast_hosts()
+    late = hosts['h4']
+    late.note_leader('h1', 5.0)
+    late.note_unconfirmed('h4', others(hosts, 'h4'), 5.5)
+    assert late.silent_hosts == {'h2'}
+    assert not late.leads('h4', others(hosts, 'h4'))
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -272,6 +272,7 @@
     """Set how long the watches of all followers wait in the store."""
     monkeypatch.setattr(following, 'WATCH_S', wait_s)
     monkeypatch.setattr(following, 'LEADER_WATCH_S', wait_s)
+    monkeypatch.setattr(following, 'RENEW_WATCH_AFTER_S', (wait_s, wait_s))
 
 
 async def test_watch_lost_in_an_outage_is_resent_after_it(
@@ -301,6 +302,29 @@
             await conditions.until(functools.partial(_is_in_force, host, 3))
 
 
+async def test_lost_watches_are_renewed_when_no_leader_confirms(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against versions that wait for the lost watches of all hosts.
+
+    The watches of the hosts that confirm versions to all are lost as well, or
+    these hosts are, and no other call shows that the store was silent.
+    """
+    set_watch_time(monkeypatch, 60.0)
+    monkeypatch.setattr(following, 'RENEW_WATCH_AFTER_S', (1.2, 1.5))
+    monkeypatch.setattr(storefeed, 'RENEW_INTERVAL_S', 3600.0)
+    async with proxies.pair('hel-b') as (mesh, *hosts):
+        mesh.kv.hang = True
+        await mesh.kv.configure(proxies.config(2))
+        await conditions.until(lambda: mesh.kv.unanswered_watches() >= 2)
+        mesh.kv.hang = False
+        await mesh.kv.configure(proxies.config(3))
+        for host in hosts:
+            await conditions.until(functools.partial(_is_in_force, host, 3))
+            assert not host.proxy.counts.totals['store.record-failed']
+            assert host.proxy.counts.totals['store.watch-renewed']
+
+
 async def test_renewed_watch_confirms_no_version(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -346,7 +370,9 @@
     read_s = 1.25 * storefeed.MIN_RETRY_PAUSE_S
     fetched_s = versions.REMOTE_ZONE_FETCH_DELAY_S
     assert noticed_s + read_s + fetched_s < invariants.UNDISRUPTED_S
-    assert following.LEADER_WATCH_S < following.CONFIRMED_FOR_S
+    assert following.LEADER_WATCH_S < following.RENEW_WATCH_AFTER_S[0]
+    renewed_s = following.RENEW_WATCH_AFTER_S[1] + following.RENEWED_WATCH_S
+    assert renewed_s < following.CONFIRMED_FOR_S
     assert following.CONFIRMED_FOR_S <= invariants.VERSION_APPLY_S
 
 
