--- a/testing/proxies.py
+++ b/testing/proxies.py
@@ -122,10 +122,6 @@
         async with self.caller() as caller:
             return await caller.ask(path, **given)
 
-    def grant_extra_retries(self) -> None:
-        """Let the guard grant the retries of one that runs for a window."""
-        self.proxy.guard.budget.started_at = -math.inf
-
     async def ask_until_run_by(self, target: 'Host') -> None:
         """Send reads until another host's target has run one more."""
         before = len(target.worker.runs)
@@ -194,7 +190,10 @@
         slots: int = 4,
         link_mbps: float = 1000.0,
     ) -> Host:
-        """Start a proxy and its target, which is not announced yet."""
+        """Start a proxy and its target, which is not announced yet.
+
+        Its guard grants retries like one that has run for a window.
+        """
         address = f'{LOOPBACK_PREFIX}.{1 + len(self.hosts)}'
         worker = worker_standin.Worker(f'i-{name}', slots)
         await self.exit_stack.enter_async_context(
@@ -203,6 +202,7 @@
         host = await self.start_proxy(
             name, address, zone, service, worker, link_mbps
         )
+        host.proxy.guard.budget.started_at = -math.inf
         self.hosts[name] = host
         return host
 
