--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -370,6 +370,7 @@
     read_s = 1.25 * storefeed.MIN_RETRY_PAUSE_S
     fetched_s = versions.REMOTE_ZONE_FETCH_DELAY_S
     assert noticed_s + read_s + fetched_s < invariants.UNDISRUPTED_S
+    assert following.LEADER_WATCH_S < following.CONFIRMED_FOR_S
     assert following.LEADER_WATCH_S < following.RENEW_WATCH_AFTER_S[0]
     renewed_s = following.RENEW_WATCH_AFTER_S[1] + following.RENEWED_WATCH_S
     assert renewed_s < following.CONFIRMED_FOR_S
