A target's short absence no longer moves a service to a new version

Callers of a service whose new targets had started, without an order for a release, were sent to the new version: all requests of an ingress in the first 3 s of its process while one old target was suspected (two of each version: the new one then had the most ready targets), and for good once no old target had been ready at one request, or at the end of those 3 s.

The versions of all targets seen ready since the search began count now, each service has its own search, and another version takes the place of the first only after no target of the first was ready for DISCOVERY_S. Both tests failed before ('cd' for 'b', 'c' for 'ab'). An ingress to which no old target is reachable still sends to the new ones rather than to nobody.

--- a/src/peridotpost/decisions/releasesplit.py
+++ b/src/peridotpost/decisions/releasesplit.py
@@ -6,7 +6,9 @@
 
 - Without an order, the first version that the service's targets had gets all
   requests as long as one of those targets is ready.  For a daemon that just
-  started, this is the version that most targets have.
+  started, this is the version that most targets have.  A target that is
+  suspected for a moment still counts; another version only takes the place of
+  the first one once no target of the first was ready for ``DISCOVERY_S``.
 - During a release the new version gets one request for each
   ``(1 - share) / share`` requests that the old one has run, counted by each
   ingress for its own requests.  The total over any number of ingresses keeps
@@ -17,6 +19,7 @@
   completed, no other version gets any.
 """
 
+import collections
 from collections.abc import Collection
 import dataclasses
 
@@ -26,9 +29,9 @@
 UPDATE_TIMEOUT_S = 1.5
 """Three times the interval of a coordinator's updates."""
 DISCOVERY_S = 3.0
-"""Time in which a daemon that started connects to the others.  Earlier, the
-first version it sees may be that of its own target, which is to replace
-theirs."""
+"""Time in which a daemon that started connects to the others, and in which a
+target that only seemed unreachable is back.  Earlier, the first version it
+sees may be that of its own target, which is to replace theirs."""
 MAX_CREDIT = 2.0
 """Bound on the requests that an ingress may owe to the new version."""
 
@@ -48,16 +51,34 @@
     credit: float = 0.0
 
 
-class ReleaseSplit:
-    """The releases known to one daemon, by service.
+@dataclasses.dataclass(slots=True)
+class _Discovery:
+    """Search for the first version of a service without a release.
 
-    :param discovery_started_at: when the first ready target was seen for a
-        service without a release.
+    :param started_at: when no target of a known first version was ready.
+    :param version_by_host: versions of all targets seen ready since then.
     """
 
+    started_at: float
+    version_by_host: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def most_common_version(
+        self, ready: Collection[targetstate.Candidate]
+    ) -> str:
+        """Add ready targets; return the version of most targets seen."""
+        for candidate in ready:
+            self.version_by_host[candidate.host] = candidate.version
+        counts = collections.Counter(self.version_by_host.values())
+        served = {candidate.version for candidate in ready}
+        return max(sorted(served), key=counts.__getitem__)
+
+
+class ReleaseSplit:
+    """The releases known to one daemon, by service."""
+
     def __init__(self) -> None:
         self.releases: dict[str, _Release] = {}
-        self.discovery_started_at: float | None = None
+        self.discoveries: dict[str, _Discovery] = {}
         self.first_version_by_service: dict[str, str] = {}
 
     def offer(self, state: release.ReleaseState, now: float) -> bool:
@@ -210,24 +231,16 @@
             if candidate.version == first_version
         ]
         if any(candidate.ready for candidate in targets):
+            self.discoveries.pop(service, None)
             return targets
         ready = [candidate for candidate in candidates if candidate.ready]
         if not ready:
             return targets
-        first_version = _most_common_version(ready)
-        if self.discovery_started_at is None:
-            self.discovery_started_at = now
-        if now - self.discovery_started_at >= DISCOVERY_S:
-            self.first_version_by_service[service] = first_version
+        discovery = self.discoveries.setdefault(service, _Discovery(now))
+        version = discovery.most_common_version(ready)
+        if now - discovery.started_at >= DISCOVERY_S:
+            self.first_version_by_service[service] = version
+            del self.discoveries[service]
         return [
-            candidate
-            for candidate in ready
-            if candidate.version == first_version
+            candidate for candidate in ready if candidate.version == version
         ]
-
-
-def _most_common_version(ready: Collection[targetstate.Candidate]) -> str:
-    counts: dict[str, int] = {}
-    for candidate in ready:
-        counts[candidate.version] = counts.get(candidate.version, 0) + 1
-    return max(sorted(counts), key=counts.__getitem__)
--- a/testing/test_releasesplit.py
+++ b/testing/test_releasesplit.py
@@ -77,6 +77,28 @@
     assert hosts(split, now=50.0) == 'ab'
 
 
+def test_suspected_old_target_counts_during_discovery() -> None:
+    """A suspicion left the new version the most targets, so it got all."""
+    split = releasesplit.ReleaseSplit()
+    equal = [*KNOWN, target('d', 'v2')]
+    assert hosts(split, known=equal, now=0.0) == 'ab'
+    assert hosts(split, known=equal[1:], now=0.5) == 'b'
+    unready = [target('a', 'v1', ready=False), *equal[1:]]
+    assert hosts(split, known=unready, now=4.0) == 'b'
+    assert hosts(split, known=equal, now=5.0) == 'ab'
+
+
+def test_old_version_gets_requests_again_after_a_short_absence() -> None:
+    """The new version kept all requests once no old target was ready."""
+    split = settled()
+    assert hosts(split, known=KNOWN[2:], now=60.0) == 'c'
+    assert hosts(split, now=61.0) == 'ab'
+    assert hosts(split, known=KNOWN[2:], now=70.0) == 'c'
+    absent_until = 70.0 + releasesplit.DISCOVERY_S
+    assert hosts(split, known=KNOWN[2:], now=absent_until) == 'c'
+    assert hosts(split, now=absent_until + 1.0) == 'c'
+
+
 def test_canary_share_is_not_exceeded_while_ingresses_restart(
     randomness: random.Random,
 ) -> None:
