Reports count after a restart with an earlier clock

Cause: an owner ordered the reports of a host by incarnation, which comes from the wall clock, so all reports of such a process seemed overtaken.

Evidence: of the 62 runs 16 and 14 came in through h1 and h2, whose clocks are 19.5 and 3.8 s behind after their restarts; the other 32 are the quota.

Numbers are compared within a process now; the latest four of a host are kept.

--- a/src/peridotpost/decisions/quotaowner.py
+++ b/src/peridotpost/decisions/quotaowner.py
@@ -65,12 +65,15 @@
 each other on their way and some within the quota would be refused."""
 MAX_RETRY_AFTER_S = 5.0
 MIN_RETRY_AFTER_S = 0.1
+MAX_PROCESSES = 4
+"""Latest processes of a host whose report numbers are remembered."""
 
 
 class QuotaOwner:
     """Keeps the accounts of the customers that one daemon owns.
 
     :param started_at: when the process started.
+    :param last_reports: number of the last report by host and incarnation.
     """
 
     def __init__(self, rule: quotas.QuotaRule, started_at: float) -> None:
@@ -79,7 +82,7 @@
         self.fraction = 1.0
         self.quotas: dict[str, quotas.Quota] = {}
         self.accounts: dict[str, quotaaccount.Account] = {}
-        self.last_reports: dict[str, tuple[int, int]] = {}
+        self.last_reports: dict[str, dict[int, int]] = {}
         self.last_number = 0
         self.active_at = math.inf
 
@@ -130,12 +133,16 @@
         """Take in the report of a host and return what to answer.
 
         :param number: increases with each report of a process; reports that
-            are duplicated or overtaken are ignored.
+            are duplicated or overtaken are ignored.  Processes of a host are
+            not ordered: a restart may set back the clock that their
+            incarnations come from.
         """
-        last = self.last_reports.get(sender.host, (0, -1))
-        if (sender.incarnation, number) <= last:
+        last_numbers = self.last_reports.setdefault(sender.host, {})
+        if number <= last_numbers.get(sender.incarnation, -1):
             return []
-        self.last_reports[sender.host] = (sender.incarnation, number)
+        last_numbers[sender.incarnation] = number
+        if len(last_numbers) > MAX_PROCESSES:
+            del last_numbers[next(iter(last_numbers))]
         self._notice_stall(now)
         answers = []
         for use in uses:
--- a/testing/test_quotas.py
+++ b/testing/test_quotas.py
@@ -191,6 +191,18 @@
     assert gate.share_of('c', 1.0 + RULE.window_s) == (1.0, 0.0)
 
 
+def test_reports_count_after_a_restart_with_an_earlier_clock() -> None:
+    """The reports were ignored, so requests beyond the quota ran."""
+    owner = quotaowner.QuotaOwner(RULE, -60.0)
+    owner.set_quotas([QUOTA])
+    use = quotas.Use('c', 10, 10)
+    restarted = dataclasses.replace(OWNER, incarnation=OWNER.incarnation - 1)
+    owner.report(OWNER, 5, [use], 1.0)
+    for _ in range(2):
+        owner.report(restarted, 1, [use], 1.0)
+    assert sum(owner.accounts['c'].used) == 20
+
+
 def test_limit_lasts_until_retries_are_within_the_rate() -> None:
     """Guards against a limit that ends while refused callers come back."""
     owner = quotaowner.QuotaOwner(RULE, -60.0)
