Test of rollout progress judges the report that it waited for

It waited until the relay's report showed the version in force on the three, and read the report again when its task ran, an iteration of the event loop later.

The test judges the same report in both places now; the bound is unchanged.

--- a/testing/test_distribution_cuts.py
+++ b/testing/test_distribution_cuts.py
@@ -100,17 +100,26 @@
         for zone in zones.mesh.availability_zones:
             hosts = [host for host in zones.daemons if zone in host]
             root = zones.links(tree.relays_of(zone, hosts)[0])
+            reports: list[progress.Progress] = []
             await conditions.until(
-                functools.partial(is_in_force_on_all, root, revision, hosts),
+                functools.partial(
+                    is_in_force_on_all, root, revision, hosts, reports
+                ),
                 f'{zone} has {revision} in force',
             )
-            assert root.progress.daemons == 3
+            # Links may be replaced before this task runs again.
+            assert reports[-1].daemons == 3
 
 
 def is_in_force_on_all(
-    root: links.LinkTable, revision: int, hosts: Sequence[str]
+    root: links.LinkTable,
+    revision: int,
+    hosts: Sequence[str],
+    reports: list[progress.Progress],
 ) -> bool:
-    return progress.in_force(revision, root.progress, hosts)
+    """Append the present report and return whether it covers the zone."""
+    reports.append(root.progress)
+    return progress.in_force(revision, reports[-1], hosts)
 
 
 async def test_partitioned_zones_converge_after_healing(
