A read of the configuration lost in a silence is repeated after it

Cause: all hosts of the zone lost their watches at 18.201 s, in a silence of the store until 18.7 s, and read the configuration .25 s later. That read was lost too and waited for its timeout of 3 s. Only watches were renewed when other calls showed that the store answers again.

Evidence: the hosts' store and config lines, 18.201 and 21.78 to 21.90 s, and confirmed_ms 4,875; the other zones have version 14 from 19.57 s on.

The wait for any answer of the configuration ends now when other calls show that the store is back; so do the reads of hosts with slow links. A read can be cut short once for each such return. The new test failed before.

--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 from collections.abc import Sequence
 import contextlib
 import dataclasses
 import random
+from typing import Any
 from typing import Protocol
 
 from peridotpost.decisions import following
@@ -157,7 +159,7 @@
         while not tasks.cancelled():
             try:
                 if not revision:
-                    read = await self.feed.read_config()
+                    read = await self._read_config()
                 else:
                     changes = await self._next_config(revision)
                     if changes is None:
@@ -189,27 +191,56 @@
     async def _next_config(self, revision: int) -> ConfigRead | None:
         """Wait for a change; return None if the watch has to be renewed.
 
-        A watch sent while the store was silent was never received.  Until
-        its timeout it looks like one without changes, and a version written
-        meanwhile would be in force seconds late on all hosts.  It is renewed
-        when other calls show that the store answers again, or if no leader
-        has confirmed the version in time.
+        Until its timeout, a watch that is lost looks like one without
+        changes, and a version written meanwhile would be in force seconds
+        late on all hosts.  It is also renewed if no leader has confirmed the
+        version in time.
 
         :raises StoreError: if the watch fails.
         """
-        watch = asyncio.ensure_future(
-            self.feed.next_config(revision, self._watch_wait_s())
-        )
-        waits = [watch, asyncio.ensure_future(self.store_returned.wait())]
-        if not self.renewed:
-            waits.append(asyncio.ensure_future(self._unconfirmed()))
+        watch = self.feed.next_config(revision, self._watch_wait_s())
+        if self.renewed:
+            changes = await self._answer(watch)
+        else:
+            changes = await self._answer(watch, self._unconfirmed())
+        self.renewed = changes is None
+        if changes is None:
+            self.counts.add('store.watch-renewed')
+        return changes
+
+    async def _read_config(self) -> ConfigRead:
+        """Read the configuration, again if the store lost the first read.
+
+        :raises StoreError: if a read fails.
+        """
+        while True:
+            read = await self._answer(self.feed.read_config())
+            if read is not None:
+                return read
+            self.counts.add('store.read-repeated')
+
+    async def _answer(
+        self,
+        call: Coroutine[Any, Any, ConfigRead],
+        *renewals: Coroutine[Any, Any, None],
+    ) -> ConfigRead | None:
+        """Return the answer to a call; None if the call has to be repeated.
+
+        A call sent while the store was silent was never received.  It is to be
+        repeated when other calls show that the store answers again.
+
+        :param renewals: return when it is to be repeated for other reasons.
+        :raises StoreError: if the call fails.
+        """
+        answer = asyncio.ensure_future(call)
+        waits: list[asyncio.Future[Any]] = [
+            answer,
+            asyncio.ensure_future(self.store_returned.wait()),
+            *map(asyncio.ensure_future, renewals),
+        ]
         try:
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-            self.renewed = not watch.done()
-            if watch.done():
-                return watch.result()
-            self.counts.add('store.watch-renewed')
-            return None
+            return answer.result() if answer.done() else None
         finally:
             await tasks.cancel_and_wait(*waits)
 
@@ -302,7 +333,7 @@
         self.counts.add('config.read')
         self.versions.announce_reading()
         try:
-            read = await self.feed.read_config()
+            read = await self._read_config()
         except errors.StoreError as error:
             self._set_reachable(False, str(error))
             return
--- a/testing/test_proxy_store.py
+++ b/testing/test_proxy_store.py
@@ -302,6 +302,35 @@
             await conditions.until(functools.partial(_is_in_force, host, 3))
 
 
+async def test_read_lost_in_an_outage_is_repeated_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against versions that wait for the timeout of a lost read.
+
+    The watches of all hosts of a zone failed, and they read the configuration
+    while the store was silent.
+    """
+    set_watch_time(monkeypatch, 0.1)
+    monkeypatch.setattr(store, 'READ_TIMEOUT_S', 3600.0)
+    monkeypatch.setattr(store, 'CALL_TIMEOUT_S', 0.5)
+    monkeypatch.setattr(storefeed, 'MIN_RETRY_PAUSE_S', 0.01)
+    async with proxies.pair() as (mesh, *hosts):
+        mesh.kv.hang = True
+        for host in hosts:
+            await conditions.until(
+                functools.partial(_counted, host, 'store.record-failed')
+            )
+        assert mesh.kv.unanswered_calls.count('/-/kv-range') >= 2
+        mesh.kv.hang = False
+        await mesh.kv.configure(proxies.config(2))
+        for host in hosts:
+            await conditions.until(functools.partial(_is_in_force, host, 2))
+        # The other host may be told by the first one.
+        assert any(
+            host.proxy.counts.totals['store.read-repeated'] for host in hosts
+        )
+
+
 async def test_lost_watches_are_renewed_when_no_leader_confirms(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
