--- a/review/standins/caller.py
+++ b/review/standins/caller.py
@@ -23,12 +23,16 @@
 
 
 class Caller:
-    """Sends one request after the other to one address."""
+    """Sends one request after the other to one address.
+
+    :ivar headers: headers that it adds to each request.
+    """
 
     def __init__(self, address: str, notes: record.Record) -> None:
         self.host, _, port = address.rpartition(':')
         self.port = int(port)
         self.notes = notes
+        self.headers: dict[str, str] = {}
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
@@ -46,6 +50,7 @@
             'Host': route_host,
             'X-Attempt-Id': attempt,
             'X-Deadline-Remaining-Ms': str(deadline_ms),
+            **self.headers,
         }
         payload = messages.request(method, target, headers, body)
         self.notes.note('sent', attempt=attempt, target=target)
