Review: a heartbeat with missing fields outlives the drain of its worker

Accepted with the sequence number of its own writer, it hides the worker's later reports, which are acknowledged all the same. It takes the place of the case on answers that a stop cuts off, which stays in the history.

--- a/review/standins/caller.py
+++ b/review/standins/caller.py
@@ -8,6 +8,8 @@
 
 SLACK_S = 1.0
 """Time beyond its deadline that a caller waits, so as to see late answers."""
+PAUSE_S = 0.1
+"""Pause after a request without an answer."""
 
 
 @dataclasses.dataclass
@@ -64,6 +66,7 @@
             self.notes.note(
                 'no-answer', attempt=attempt, error=type(error).__name__
             )
+            await asyncio.sleep(PAUSE_S)
         status = answer.status if answer is not None else 0
         self.notes.note('answered', attempt=attempt, status=status)
         if answer is None or answer.headers.get('connection') == 'close':
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 import time
+from typing import Any
 
 from standins import messages
 from standins import record
@@ -57,10 +58,12 @@
         self.answer: Answer = self.sound_answer
         self.free = asyncio.Semaphore(slots)
         self.runs: list[Run] = []
+        self.writers: set[asyncio.StreamWriter] = set()
         self.address = ''
         self.control_address = ''
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.state = 'ready'
 
     def sound_answer(self, run: Run, body: bytes = b'done') -> bytes:
         """Return a success with the worker's signature."""
@@ -77,12 +80,19 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer the requests of one connection, one at a time."""
+        self.writers.add(writer)
         with contextlib.suppress(*ENDINGS):
             while (request := await messages.read(reader)) is not None:
                 writer.write(await self._handle(request))
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
+    def exit(self) -> None:
+        """Cut all connections, as the end of the worker's process does."""
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def _handle(self, request: messages.Message) -> bytes:
         method, target, _ = request.start
         if target == HEALTH_PATH:
@@ -108,24 +118,30 @@
     async def announce(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
-            acknowledged = await self.heartbeat('ready')
+            acknowledged = await self.heartbeat()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S if acknowledged else 0.3)
 
-    async def heartbeat(self, state: str) -> bool:
+    async def heartbeat(self) -> bool:
         """Send a heartbeat; return whether it was acknowledged."""
         self.sequence += 1
-        body = {
+        return await self.call_control('heartbeat', self.heartbeat_body())
+
+    def heartbeat_body(self) -> dict[str, Any]:
+        return {
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
             'version': 'v1',
             'slots': self.slots,
-            'state': state,
+            'state': self.state,
             'coldRemainingMs': 0,
             'seq': self.sequence,
             'born': self.born,
         }
-        target = f'/-/rpc?call=instances.heartbeat&of={self.instance}'
+
+    async def call_control(self, call: str, body: dict[str, Any]) -> bool:
+        """Call the process beside the worker; return whether it agreed."""
+        target = f'/-/rpc?call=instances.{call}&of={self.instance}'
         host, port = self.control_address.split(':')
         try:
             async with asyncio.timeout(ACK_TIMEOUT_S):
