--- a/review/2/case.py
+++ b/review/2/case.py
@@ -228,10 +228,11 @@
 
 
 def main() -> int:
-    notes = record.Record(pathlib.Path(__file__).parent)
-    with tempfile.TemporaryDirectory() as folder:
+    folder = pathlib.Path(__file__).parent
+    notes = record.Record(folder / 'record.txt')
+    with tempfile.TemporaryDirectory() as place:
         try:
-            lost = asyncio.run(play(pathlib.Path(folder), notes))
+            lost = asyncio.run(play(pathlib.Path(place), notes))
         except fleet.CannotRun as error:
             print(error)
             return 2
--- a/review/further/drain/case.py
+++ b/review/drain.py
@@ -172,10 +172,11 @@
 
 
 def main() -> int:
-    notes = record.Record(pathlib.Path(__file__).parent)
-    with tempfile.TemporaryDirectory() as folder:
+    folder = pathlib.Path(__file__).parent
+    notes = record.Record(folder / 'drain-record.txt')
+    with tempfile.TemporaryDirectory() as place:
         try:
-            late = asyncio.run(play(pathlib.Path(folder), notes))
+            late = asyncio.run(play(pathlib.Path(place), notes))
         except fleet.CannotRun as error:
             print(error)
             return 2
--- a/review/standins/fleet.py
+++ b/review/fleet.py
@@ -15,7 +15,8 @@
 from standins import record
 from standins import worker as workers
 
-REPOSITORY = pathlib.Path(__file__).parents[2]
+REPOSITORY = pathlib.Path.cwd()
+"""The scripts run at the root of the repository."""
 COMMAND = ('python3', '-S', '-m', 'peridotpost.cli.proxy')
 KEPT_VARIABLES = ('PATH', 'HOME', 'LANG')
 GRACE_S = 6.0
--- a/review/further/limits/case.py
+++ b/review/limits.py
@@ -100,10 +100,11 @@
 
 
 def main() -> int:
-    notes = record.Record(pathlib.Path(__file__).parent)
-    with tempfile.TemporaryDirectory() as folder:
+    folder = pathlib.Path(__file__).parent
+    notes = record.Record(folder / 'limits-record.txt')
+    with tempfile.TemporaryDirectory() as place:
         try:
-            refused = asyncio.run(play(pathlib.Path(folder), notes))
+            refused = asyncio.run(play(pathlib.Path(place), notes))
         except fleet.CannotRun as error:
             print(error)
             return 2
--- a/review/standins/record.py
+++ b/review/record.py
@@ -7,8 +7,8 @@
 class Record:
     """Lines with the seconds since the case began."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self.path = folder / 'record.txt'
+    def __init__(self, path: pathlib.Path) -> None:
+        self.path = path
         self.started = time.monotonic()
         self.lines: list[str] = []
 
--- a/review/further/stop/case.py
+++ b/review/stop.py
@@ -156,10 +156,11 @@
 
 
 def main() -> int:
-    notes = record.Record(pathlib.Path(__file__).parent)
-    with tempfile.TemporaryDirectory() as folder:
+    folder = pathlib.Path(__file__).parent
+    notes = record.Record(folder / 'stop-record.txt')
+    with tempfile.TemporaryDirectory() as place:
         try:
-            cut = asyncio.run(play(pathlib.Path(folder), notes))
+            cut = asyncio.run(play(pathlib.Path(place), notes))
         except fleet.CannotRun as error:
             print(error)
             return 2
