A process keeps its memory limit whatever its callers send

Thirteen uploads of 20 MB, one after the other, had been answered 200.

Cause: bytes that somebody holds and nobody counts. - Connection, parser and reader refer to each other and the reader kept the last message, so a closed connection kept its body until a collection. - Open connections kept theirs as well, as did a target connection's last outcome and the list of lost answers. - Nothing bounded bodies under way; a join and the frames between hosts held each twice and more.

Change: one account of bytes for the process, 0.4 of the new setting memory_mb. A large body is charged before it is read, held once in a mapping of its own, sent without a copy, and returned when its last view goes. Without room, reading pauses; what gets none in time is rejected as not run with Retry-After. Between hosts large bodies are fetched in parts.

Why it works: the charge of a body ends with its memory, so no holder can be forgotten, and each way into the process asks the account first.

--- a/src/peridotpost/border/proxy_settings.py
+++ b/src/peridotpost/border/proxy_settings.py
@@ -111,6 +111,8 @@
     :param target: address of this host's target.
     :param hedging: if present, late requests are hedged.
     :param link_mbps: bandwidth of the host's network link in Mbit/s.
+    :param memory_mb: memory that the process may take, in MB; requests that
+        would exceed it wait or are rejected.
     :param store: address of the platform's store.
     """
 
@@ -122,6 +124,7 @@
     listen: Listen
     store: Name
     link_mbps: PositiveFloat = 1000.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=64)] = 256.0
     retries: Retries = Retries()
     releases: Releases = Releases()
     hedging: Hedging | None = None
--- a/src/peridotpost/decisions/poison.py
+++ b/src/peridotpost/decisions/poison.py
@@ -18,6 +18,7 @@
 import hashlib
 
 from peridotpost.model import calls
+from peridotpost.model import forwarding
 
 MAX_CRASHES = 2
 CRASH_MEMORY_S = 600.0
@@ -25,6 +26,8 @@
 MAX_REFUSAL_S = 600.0
 MAX_SUSPECTS = 1000
 """Limits the memory to some 300 KB during a flood of crash reports."""
+BODY_PREFIX_BYTES = 64 * 1024
+"""Hashing 64 MB would block the event loop for tens of milliseconds."""
 VOLATILE_HEADERS = frozenset(
     {
         'accept-encoding',
@@ -38,12 +41,15 @@
 """Headers that may differ between two attempts of the same request."""
 
 
-def fingerprint(method: bytes, target: bytes, body: bytes) -> str:
-    """Return an identifier of a request that ignores all headers."""
+def fingerprint(method: bytes, target: bytes, body: forwarding.Body) -> str:
+    """Return an identifier of a request that ignores all headers.
+
+    Of a body it covers the length and the first ``BODY_PREFIX_BYTES``.
+    """
     state = hashlib.blake2b(digest_size=8)
     for part in (method, target, body):
         state.update(len(part).to_bytes(8, 'big'))
-        state.update(part)
+        state.update(part[:BODY_PREFIX_BYTES])
     return state.hexdigest()
 
 
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -10,6 +10,7 @@
 from peridotpost.border import proxy_settings as border
 from peridotpost.decisions import budget
 from peridotpost.decisions import following
+from peridotpost.decisions import memoryaccount
 from peridotpost.decisions import peerqueries
 from peridotpost.decisions import releasesplit
 from peridotpost.decisions import selection
@@ -28,6 +29,7 @@
 from peridotpost.mesh import versions as version_feed
 from peridotpost.model import instances
 from peridotpost.model import mesh
+from peridotpost.proxy import bodies
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import exchange as exchanges
 from peridotpost.proxy import forwarder as forwarders
@@ -39,6 +41,13 @@
 from peridotpost.proxy import peers
 
 MS_IN_S = 1000
+BYTES_IN_MB = 1_000_000
+MESSAGES_MEMORY_SHARE = 0.4
+"""Share of the process's memory that messages may take; the rest is for the
+program and for what it knows of the fleet."""
+INTERNAL_MEMORY_BYTES = 1_000_000
+"""Memory for the messages of a port that callers do not use."""
+MAX_INTERNAL_BODY_BYTES = 64 * 1024
 LISTEN_STOP_DELAY_S = 2.6
 """Delay from the stop request until the ports stop listening.  Readiness is
 polled about once a second and two failed polls take the host out of rotation;
@@ -93,17 +102,23 @@
         settings = self.settings
         headers = self.adapter.headers
         self.request_deadlines = deadlines.DeadlineTimer()
+        self.memory = memoryaccount.MemoryAccount(
+            int(settings.memory_mb * BYTES_IN_MB * MESSAGES_MEMORY_SHARE),
+            asyncio.get_running_loop().call_soon,
+        )
+        self.room = bodies.Room(
+            self.memory, self.request_deadlines, self.counts
+        )
         self.guard = guards.Guard(
             headers,
             self.randomness,
-            self.request_deadlines,
             budget.RetryBudget(
                 settings.retries.ratio,
                 settings.retries.extra,
                 settings.retries.window_s,
                 deadlines.now(),
             ),
-            self.counts,
+            self.room,
             self.log,
         )
         self.directory = directories.Directory(
@@ -136,7 +151,9 @@
         if settings.hedging is not None:
             self.forwarder.hedges.enable(settings.hedging.share)
             self.guard.speed.refuses = True
-        self.requests = listener.Port(headers, self.forwarder.handle)
+        self.requests = listener.Port(
+            headers, self.forwarder.handle, self.room
+        )
         self.directory.has_slow_link = read_policy.has_slow_link
         self.versions = version_feed.Versions(
             self.adapter.decode,
@@ -195,12 +212,8 @@
             await stack.enter_async_context(
                 self._listen_for_peers(listen.peers)
             )
-            readiness = listener.Port(
-                self.adapter.headers, self._handle_readiness
-            )
-            announcements = listener.Port(
-                self.adapter.headers, self._handle_announcement
-            )
+            readiness = self._internal_port(self._handle_readiness)
+            announcements = self._internal_port(self._handle_announcement)
             for port, address in (
                 (readiness, listen.readiness),
                 (announcements, listen.announcements),
@@ -208,9 +221,7 @@
             ):
                 await self._listen(stack, port, address)
             if listen.metrics:
-                metrics_port = listener.Port(
-                    self.adapter.headers, self._handle_metrics
-                )
+                metrics_port = self._internal_port(self._handle_metrics)
                 await self._listen(stack, metrics_port, listen.metrics)
             running = [
                 asyncio.ensure_future(self.feed.poll_records()),
@@ -239,6 +250,16 @@
         host, number = border.split_address(address)
         await stack.enter_async_context(listener.listening(port, host, number))
 
+    def _internal_port(self, handle: listener.Handler) -> listener.Port:
+        """Return a port of which no caller sends large requests."""
+        account = memoryaccount.MemoryAccount(
+            INTERNAL_MEMORY_BYTES, asyncio.get_running_loop().call_soon
+        )
+        room = bodies.Room(account, self.request_deadlines, self.counts)
+        port = listener.Port(self.adapter.headers, handle, room)
+        port.limits = mesh.CallerLimits(max_body_bytes=MAX_INTERNAL_BODY_BYTES)
+        return port
+
     def gauges(self) -> Iterator[metrics.Gauge]:
         """Yield the gauges, sampled when the metrics page is rendered."""
         queue = self.guard.queue
@@ -275,6 +296,15 @@
         yield gauge('retries_targets', 'Targets that share them', use.targets)
         in_flight = self.forwarder.completion.in_flight
         yield gauge('requests_in_flight', 'Requests of callers', in_flight)
+        memory = self.memory
+        yield gauge('message_bytes', 'Held for messages', memory.used)
+        yield gauge('message_bytes_peak', 'The most so far', memory.peak)
+        yield gauge('message_bytes_limit', 'The most allowed', memory.capacity)
+        yield gauge(
+            'messages_waiting',
+            'Large messages that wait for memory',
+            memory.waiting_count,
+        )
         stage = self.releases.own_stage()
         yield gauge('release_stage', 'Of the own service; 0 for none', stage)
         reachable = self.feed.reachable is True
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -140,10 +140,9 @@
             self.guard.submit(order)
             return True
         peer = self.peers.get(host)
-        if peer is None or peer.stream is None or peer.stream.closed:
+        if peer is None or peer.stream is None:
             return False
-        peer.stream.dispatch(order)
-        return True
+        return peer.stream.dispatch(order)
 
     def withdraw(self, host: str, order: forwarding.Order) -> None:
         if host == self.own_record.host:
@@ -180,6 +179,10 @@
         live = sum(peer.stream is not None for peer in self.peers.values())
         return 1 + live
 
+    def delivering_count(self) -> int:
+        """Return the number of daemons that have not taken all responses."""
+        return sum(stream.delivers for stream in self.accepted_streams)
+
     def followers(self) -> list[str]:
         """Return the connected hosts with fast links."""
         return [
@@ -266,6 +269,7 @@
             self.statements.get(host)
         )
         hello.has_slow_link = self.has_slow_link
+        hello.takes_parts = True
         return hello
 
     def is_remote_zone(self, availability_zone: str) -> bool:
--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -4,6 +4,9 @@
 import dataclasses
 import enum
 
+Body = bytes | memoryview
+"""Content of a request or a response; a large one is a view."""
+
 
 class Refusal(enum.StrEnum):
     """Why a request was refused; with any of these it has not run."""
@@ -19,6 +22,7 @@
     POISON = 'poison'
     WITHDRAWN = 'withdrawn'
     NO_RETRY_BUDGET = 'no-retry-budget'
+    NO_ROOM = 'no-room'
 
 
 class RetryCause(enum.IntEnum):
@@ -43,7 +47,7 @@
     status: int
     reason: bytes
     head: bytes
-    body: bytes
+    body: Body
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +87,10 @@
     return False
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class Order:
     """One dispatch of a request to one target, through its host's guard.
@@ -104,6 +112,8 @@
     :param call_failed: whether a call made by the run failed.
     :param body_deferred: whether the body is sent only after the guard has
         accepted the request and asks for it.
+    :param reserve_body: takes the memory for a body that was not sent yet;
+        whether there was room.
     :param fetch_body: requests a body that was not sent yet; None if the
         body is present.
     :param may_move: whether another target would be tried if this dispatch
@@ -117,7 +127,7 @@
     method: bytes
     target: bytes
     head: bytes
-    body: bytes
+    body: Body
     idempotent: bool
     rank: int
     deadline: float
@@ -133,6 +143,7 @@
     inherited_retry_weight: float = 0.0
     call_failed: bool = False
     body_deferred: bool = False
+    reserve_body: Callable[[], bool] = _always
     fetch_body: Callable[[], None] | None = None
     may_move: Callable[[], bool] = _never
     customer: str = ''
@@ -156,6 +167,8 @@
         # the next collection, tens of thousands of allocations later.
         self.done = _ignore
         self.may_move = _never
+        self.reserve_body = _always
+        self.fetch_body = None
         done(outcome)
 
 
--- a/src/peridotpost/platform/announcements.py
+++ b/src/peridotpost/platform/announcements.py
@@ -54,8 +54,8 @@
             400, f'unknown call {call!r} or no instance: {instance!r}'
         )
     if call == LEAVE:
-        return _parse_leave(instance, message.body)
-    return _parse_heartbeat(instance, message.body)
+        return _parse_leave(instance, bytes(message.body))
+    return _parse_heartbeat(instance, bytes(message.body))
 
 
 def _parse_leave(instance: str, body: bytes) -> adapter.TargetCall:
--- a/src/peridotpost/proxy/client.py
+++ b/src/peridotpost/proxy/client.py
@@ -10,13 +10,18 @@
 
 import httptools
 
+from peridotpost.proxy import bodies
 from peridotpost.proxy import headernames
 from peridotpost.proxy import http1
+from peridotpost.proxy import listener
 
 NO_HEADER_NAMES = headernames.HeaderNames(
     b'', b'', b'', b'', b'', b'', b'', b''
 )
 
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Several times the largest page of the store."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
@@ -33,6 +38,7 @@
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[Response] | None = None
         self.reader = http1.MessageReader(NO_HEADER_NAMES, self)
+        self.reader.max_body_bytes = MAX_RESPONSE_BYTES
         self.parser = http1.response_parser(self.reader)
         self.reusable = True
         self.closed = False
@@ -56,12 +62,13 @@
             self.close()
         elif not waiter.done():
             status = self.parser.get_status_code()
-            waiter.set_result(Response(status, message.body))
-        # The reader keeps the message until the next one begins.
-        message.body = b''
+            waiter.set_result(Response(status, bytes(message.body)))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
+        # The parser refers to the reader.  A cycle would keep the connection
+        # until the next collection.
+        self.reader.sink = listener.NO_SINK
         waiter = self.waiter
         self.waiter = None
         if waiter is not None and not waiter.done():
@@ -123,7 +130,7 @@
 
     def _render_request(
         self, method: bytes, target: bytes, body: bytes
-    ) -> bytes:
+    ) -> list[bodies.Body]:
         head = self.head
         if body:
             head += b'Content-Type: application/json\r\n'
@@ -138,10 +145,12 @@
         return connection
 
 
-async def _exchange(connection: ClientProtocol, payload: bytes) -> Response:
+async def _exchange(
+    connection: ClientProtocol, payload: list[bodies.Body]
+) -> Response:
     assert connection.transport is not None
     waiter = asyncio.get_running_loop().create_future()
     connection.waiter = waiter
-    connection.transport.write(payload)
+    connection.transport.writelines(payload)
     response: Response = await waiter
     return response
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -13,6 +13,7 @@
 from peridotpost.kernel import jsonlog
 from peridotpost.model import forwarding
 from peridotpost.model import mesh
+from peridotpost.proxy import bodies
 from peridotpost.proxy import completion
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import exchange as exchanges
@@ -360,7 +361,7 @@
             route=exchange.route.name,
             retry_cause=exchange.attempts.retry_cause,
             inherited_retry_weight=self._inherited_retry_weight(exchange),
-            body_deferred=may_refuse and len(message.body) > INLINE_BODY_BYTES,
+            body_deferred=_is_sent_on_request(message.body, may_refuse),
             may_move=lambda: self._may_reroute(exchange),
             customer=exchange.customer,
         )
@@ -443,3 +444,9 @@
         order = exchange.order
         if order is not None and exchange.candidate is not None:
             self.backends.withdraw(exchange.candidate.host, order)
+
+
+def _is_sent_on_request(body: bodies.Body, may_refuse: bool) -> bool:
+    """Whether a body is sent only when the guard asks for it."""
+    limit = INLINE_BODY_BYTES if may_refuse else bodies.SMALL_BODY_BYTES
+    return len(body) > limit
--- a/src/peridotpost/proxy/frameconversion.py
+++ b/src/peridotpost/proxy/frameconversion.py
@@ -78,7 +78,7 @@
         order.method,
         order.target,
         order.head,
-        b'' if order.body_deferred else order.body,
+        b'' if order.body_deferred else bytes(order.body),
         order.idempotent,
         order.last,
         order.rank,
@@ -88,6 +88,7 @@
         round(order.inherited_retry_weight * 100),
         order.body_deferred,
         order.customer,
+        len(order.body) if order.body_deferred else 0,
     )
 
 
@@ -125,6 +126,7 @@
     run_s: float,
     failing: int,
     stated: instances.TargetStatement | None = None,
+    body_deferred: bool = False,
 ) -> frames.Frame:
     """Return the frame for an outcome.
 
@@ -132,6 +134,7 @@
     :param run_s: mean run time of the route on this target.
     :param failing: share of failed requests there, in hundredths.
     :param stated: what the target stated and is in force.
+    :param body_deferred: whether the body of a response is left out.
     """
     run_ms = int(run_s * MS_IN_S)
     if isinstance(outcome, forwarding.TargetAnswer):
@@ -140,11 +143,12 @@
             outcome.status,
             outcome.reason,
             outcome.head,
-            outcome.body,
+            b'' if body_deferred else bytes(outcome.body),
             load,
             run_ms,
             failing,
             statement_frame(stated),
+            len(outcome.body) if body_deferred else 0,
         )
     if isinstance(outcome, forwarding.Refused):
         return frames.RefusedFrame(
@@ -160,10 +164,12 @@
     return frames.LostFrame(number, outcome.detail, outcome.crashed)
 
 
-def answer_from_frame(frame: frames.Answered) -> forwarding.TargetAnswer:
-    """Return the target's response in a frame."""
+def answer_from_frame(
+    frame: frames.Answered, body: forwarding.Body
+) -> forwarding.TargetAnswer:
+    """Return the target's response in a frame, with its body."""
     return forwarding.TargetAnswer(
-        frame.status, frame.reason, frame.head, frame.body
+        frame.status, frame.reason, frame.head, body
     )
 
 
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -13,9 +13,9 @@
 COMPRESSION_LEVEL = 5
 WINDOW_BITS = 12
 MEMORY_LEVEL = 3
-MAX_FRAME_BYTES = 80 * 1024 * 1024
-"""Fits the largest allowed body and its headers; a longer frame is treated as
-a corrupt stream."""
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+"""Fits the largest configuration; a longer frame is treated as a corrupt
+stream.  Large bodies are sent in parts."""
 
 
 class Statement(msgspec.Struct, array_like=True):
@@ -36,6 +36,7 @@
     :param inherited_retry_percent: inherited retry weight in hundredths.
     :param body_deferred: whether the body is left out and sent on request.
     :param customer: name of the customer; empty if there is none.
+    :param body_size: length of a deferred body.
     """
 
     number: int
@@ -55,16 +56,28 @@
     inherited_retry_percent: int = 0
     body_deferred: bool = False
     customer: str = ''
+    body_size: int = 0
 
 
 class BodyWanted(msgspec.Struct, array_like=True, tag=18):
-    """Asks for the body of a dispatch that the guard accepted without it."""
+    """Asks for a part of a body that was announced without it.
+
+    The guard asks for the body of a dispatch that it accepted, the sender of
+    a dispatch for that of its response.
+
+    :param size: length of the part; 0 asks for all of the body.
+    """
 
     number: int
+    offset: int = 0
+    size: int = 0
 
 
 class Body(msgspec.Struct, array_like=True, tag=19):
-    """The body of a dispatch that was sent without it."""
+    """The part of a body that a `BodyWanted` asked for.
+
+    Parts arrive in the order in which they were asked for.
+    """
 
     number: int
     body: bytes
@@ -83,6 +96,7 @@
     :param run_ms: mean run time of the route on that target.
     :param failing: share of failed requests there, in hundredths.
     :param stated: what the target stated and is in force.
+    :param body_size: length of a body that is left out and sent on request.
     """
 
     number: int
@@ -94,6 +108,7 @@
     run_ms: int
     failing: int = 0
     stated: Statement | None = None
+    body_size: int = 0
 
 
 class RefusedFrame(msgspec.Struct, array_like=True, tag=4):
@@ -143,6 +158,8 @@
         stream, flushed after each write.
     :param heard: what the receiver's target stated, as the sender remembers
         it.
+    :param takes_parts: whether the sender asks for the large bodies of
+        responses in parts.
     """
 
     host: str
@@ -154,6 +171,7 @@
     compressed: bool = False
     has_slow_link: bool = False
     heard: Statement | None = None
+    takes_parts: bool = False
 
 
 class Version(msgspec.Struct, array_like=True, tag=8):
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -16,16 +16,17 @@
 from peridotpost.decisions import incarnations
 from peridotpost.decisions import slots as slot_rules
 from peridotpost.decisions import targetspeed
-from peridotpost.kernel import counters
 from peridotpost.kernel import hooks
 from peridotpost.kernel import jsonlog
 from peridotpost.model import forwarding
 from peridotpost.model import instances
+from peridotpost.proxy import bodies
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import expiries
 from peridotpost.proxy import guardlog
 from peridotpost.proxy import headernames
 from peridotpost.proxy import http1
+from peridotpost.proxy import listener
 from peridotpost.proxy import reachability
 from peridotpost.proxy import targetadverts
 from peridotpost.proxy import upstream
@@ -51,17 +52,17 @@
         self,
         header_names: headernames.HeaderNames,
         randomness: random.Random,
-        deadline_timer: deadlines.DeadlineTimer,
         retry_budget: budget.RetryBudget,
-        counts: counters.Counters,
+        room: bodies.Room,
         log: jsonlog.JsonLog,
     ) -> None:
         self.header_names = header_names
-        self.deadline_timer = deadline_timer
+        self.room = room
+        self.deadline_timer = room.timer
         self.budget = retry_budget
         self.retry_log = guardlog.RetryLog(log, retry_budget)
         self.target_count: Callable[[], int | None] = lambda: 1
-        self.counts = counts
+        self.counts = room.counts
         self.log = log
         self.instances = incarnations.InstanceTracker()
         self.queue = slot_rules.SlotQueue(0, randomness)
@@ -70,10 +71,10 @@
         self.running_by_attempt: dict[bytes, forwarding.Order] = {}
         self.connecting: dict[forwarding.Order, asyncio.Task[None]] = {}
         self.awaiting_body: set[forwarding.Order] = set()
-        self.expiries = expiries.OrderExpiries(deadline_timer, self._expired)
+        self.expiries = expiries.OrderExpiries(room.timer, self._expired)
         self.wakes_at = 0.0
         self.reachability = reachability.Reachability(self, log)
-        self.adverts = targetadverts.TargetAdverts(counts, log)
+        self.adverts = targetadverts.TargetAdverts(room.counts, log)
         self.adverts.leaving_stated.subscribe(self._end_incarnation)
         self.failures = failures.FailureRate()
         self.speed = targetspeed.TargetSpeed(False)
@@ -198,6 +199,14 @@
         if not self._has_budget(order, now):
             self._refuse_retry(order)
             return
+        if not order.reserve_body():
+            self.counts.add('requests.no-room')
+            order.settle(
+                forwarding.Refused(
+                    forwarding.Refusal.NO_ROOM, listener.NO_ROOM_RETRY_AFTER_S
+                )
+            )
+            return
         if self.speed.declines(order, self.queue.load(now), now):
             verdict = slot_rules.Decision([], [order])
         else:
@@ -209,7 +218,7 @@
             order.fetch_body()
         self._apply_verdict(verdict)
 
-    def receive_body(self, order: forwarding.Order, body: bytes) -> None:
+    def receive_body(self, order: forwarding.Order, body: bodies.Body) -> None:
         """Store the body of an order that was sent without it."""
         order.body = body
         order.fetch_body = None
@@ -482,7 +491,7 @@
         current = self.instances.current
         assert current is not None
         return await upstream.connect(
-            current, self.header_names, self._connection_released
+            current, self.header_names, self._connection_released, self.room
         )
 
     def adopt_connection(self, connection: upstream.TargetConnection) -> None:
--- a/src/peridotpost/proxy/http1.py
+++ b/src/peridotpost/proxy/http1.py
@@ -12,6 +12,8 @@
 
 import httptools
 
+from peridotpost.decisions import memoryaccount
+from peridotpost.proxy import bodies
 from peridotpost.proxy import headernames
 
 CONNECTION_HEADERS = frozenset(
@@ -47,6 +49,10 @@
     :param leaving: value of the header by which a target says that it is
         shutting down.
     :param framed: whether the headers delimit the body.
+    :param content_length: length of the body that the headers state, if any.
+    :param incoming: a body that is large or of unknown length, until all of
+        it has arrived and has room.
+    :param charged: bytes that are charged for the message itself.
     :param host_header_count: number of ``Host`` headers.
     :param nominated_headers: header names listed in ``Connection``.
     :param credentials: value of the last header with credentials.
@@ -57,7 +63,7 @@
 
     head: bytearray = dataclasses.field(default_factory=bytearray)
     head_bytes: int = 0
-    body: bytes = b''
+    body: bodies.Body = b''
     target: bytes = b''
     method: bytes = b''
     status: int = 0
@@ -74,6 +80,9 @@
     keep_alive_s: float | None = None
     expects_continue: bool = False
     framed: bool = False
+    content_length: int | None = None
+    incoming: bodies.IncomingBody | None = None
+    charged: int = 0
     host_header_count: int = 0
     nominated_headers: list[bytes] = dataclasses.field(default_factory=list)
     body_chunks: list[bytes] = dataclasses.field(default_factory=list)
@@ -83,6 +92,10 @@
     names_customer: bool = False
 
 
+NO_MESSAGE = Message()
+"""Stands for the message of a reader that is between two messages."""
+
+
 class TooLarge(Exception):
     """A message exceeds its size limit."""
 
@@ -102,22 +115,37 @@
 
     Bodies over `max_body_bytes` and headers over `max_head_bytes` raise
     `TooLarge` from within the parser.
+
+    :param memory: account for large bodies; None if they are not charged.
+    :param kind: what they are charged as; a response without a length ends
+        with its connection, a request without one has no body.
     """
 
     def __init__(
-        self, header_names: headernames.HeaderNames, sink: MessageSink
+        self,
+        header_names: headernames.HeaderNames,
+        sink: MessageSink,
+        memory: memoryaccount.MemoryAccount | None = None,
+        kind: memoryaccount.Kind = memoryaccount.Kind.RESPONSE,
     ) -> None:
         self.header_names = header_names
         self.sink = sink
+        self.memory = memory
+        self.kind = kind
         self.max_body_bytes = 1 << 30
         self.max_head_bytes = 1 << 20
-        self.message = Message()
+        self.message = NO_MESSAGE
         self.proxy_headers = {
             header_names.deadline,
             header_names.instance,
             header_names.caller,
         }
 
+    @property
+    def in_progress(self) -> bool:
+        """Whether a message has begun and is not complete."""
+        return self.message is not NO_MESSAGE
+
     def on_message_begin(self) -> None:
         self.message = Message()
 
@@ -172,31 +200,67 @@
                     message.nominated_headers.append(name)
         elif lower == b'keep-alive':
             message.keep_alive_s = _keep_alive_timeout_s(value)
-        elif lower in (b'content-length', b'transfer-encoding'):
+        elif lower == b'content-length':
             message.framed = True
+            if value.isdigit():
+                message.content_length = int(value)
+        elif lower == b'transfer-encoding':
+            message.framed = True
+            message.content_length = None
         elif lower == b'expect':
             message.expects_continue = value.lower() == b'100-continue'
 
     def on_headers_complete(self) -> None:
-        if self.message.nominated_headers:
-            _drop_nominated_headers(self.message)
-        self.sink.head_read(self.message)
+        message = self.message
+        if message.nominated_headers:
+            _drop_nominated_headers(message)
+        length = self.expected_length(message)
+        if length is not None and length > self.max_body_bytes:
+            message.body_size = length
+            raise TooLarge
+        if self.memory is not None and (
+            length is None or length > bodies.SMALL_BODY_BYTES
+        ):
+            message.incoming = bodies.IncomingBody(
+                self.memory, self.kind, length
+            )
+        self.sink.head_read(message)
+
+    def expected_length(self, message: Message) -> int | None:
+        """Return the length that a body will have; None if unknown."""
+        if not message.framed and self.kind is memoryaccount.Kind.REQUEST:
+            return 0
+        return message.content_length
 
     def on_body(self, body: bytes) -> None:
         message = self.message
         message.body_size += len(body)
         if message.body_size > self.max_body_bytes:
             raise TooLarge
-        message.body_chunks.append(body)
+        if message.incoming is not None:
+            message.incoming.append(body)
+        else:
+            message.body_chunks.append(body)
 
     def on_message_complete(self) -> None:
         message = self.message
-        chunks = message.body_chunks
-        message.body = chunks[0] if len(chunks) == 1 else b''.join(chunks)
-        message.body_chunks = []
+        # A connection that idles keeps no message.
+        self.message = NO_MESSAGE
+        if message.incoming is None:
+            chunks = message.body_chunks
+            message.body = chunks[0] if len(chunks) == 1 else b''.join(chunks)
+            message.body_chunks = []
         self.sink.message_read(message)
 
 
+def complete_body(message: Message) -> None:
+    """Set a body that was charged as it arrived, if there is room for it."""
+    incoming = message.incoming
+    if incoming is not None and incoming.claim():
+        message.body = incoming.finish()
+        message.incoming = None
+
+
 def _combine(earlier: bytes, value: bytes) -> bytes:
     """Join the values of a repeated header (RFC 9110, section 5.3)."""
     return earlier + b', ' + value if earlier else value
@@ -252,34 +316,42 @@
 
 
 def render_response(
-    status: int, reason: bytes, head: bytes, body: bytes, close: bool
-) -> bytes:
-    """Serialize a response to a caller."""
+    status: int, reason: bytes, head: bytes, body: bodies.Body, close: bool
+) -> list[bodies.Body]:
+    """Serialize a response to a caller, as buffers to write."""
     connection_header = b'Connection: close\r\n' if close else b''
     if status in (204, 304):
         length_header = b''
     else:
         length_header = b'Content-Length: %d\r\n' % len(body)
-    return b'HTTP/1.1 %d %s\r\n%s%s%s\r\n%s' % (
-        status,
-        reason or REASON_PHRASES.get(status, b'Unknown'),
-        head,
-        length_header,
-        connection_header,
+    return _with_body(
+        b'HTTP/1.1 %d %s\r\n%s%s%s\r\n'
+        % (
+            status,
+            reason or REASON_PHRASES.get(status, b'Unknown'),
+            head,
+            length_header,
+            connection_header,
+        ),
         body,
     )
 
 
 def render_request(
-    method: bytes, target: bytes, head: bytes, body: bytes
-) -> bytes:
-    """Serialize a request to a target."""
+    method: bytes, target: bytes, head: bytes, body: bodies.Body
+) -> list[bodies.Body]:
+    """Serialize a request to a target, as buffers to write."""
+    length_header = b''
     if body or method not in (b'GET', b'HEAD', b'DELETE', b'OPTIONS'):
-        return b'%s %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s' % (
-            method,
-            target,
-            head,
-            len(body),
-            body,
-        )
-    return b'%s %s HTTP/1.1\r\n%s\r\n' % (method, target, head)
+        length_header = b'Content-Length: %d\r\n' % len(body)
+    return _with_body(
+        b'%s %s HTTP/1.1\r\n%s%s\r\n' % (method, target, head, length_header),
+        body,
+    )
+
+
+def _with_body(head: bytes, body: bodies.Body) -> list[bodies.Body]:
+    """Return a message as buffers; a large body is not copied."""
+    if isinstance(body, bytes):
+        return [head + body]
+    return [head, body]
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -8,13 +8,17 @@
 from typing import Protocol
 import zlib
 
+from peridotpost.decisions import memoryaccount
 from peridotpost.kernel import counters
 from peridotpost.model import forwarding
 from peridotpost.model import instances
+from peridotpost.proxy import bodies
+from peridotpost.proxy import bodypulls
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import frameconversion
 from peridotpost.proxy import frames
 from peridotpost.proxy import guard as guards
+from peridotpost.proxy import listener
 
 CONNECT_TIMEOUT_S = 0.6
 """Ten times the longest round trip between zones."""
@@ -36,7 +40,9 @@
 ``PING_AFTER_S`` plus ``REROUTE_AFTER_S``."""
 CHECK_INTERVAL_S = 0.1
 """Interval between checks of all streams for silent peers."""
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+MAX_BACKLOG_BYTES = 1024 * 1024
+"""Size of the write buffer above which nothing is dispatched to a peer."""
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """Limit of the write buffer; a peer that stops reading is disconnected."""
 
 
@@ -83,6 +89,9 @@
         the `Hello` of this side.
     :param sent_orders: orders that the peer has not settled, by number.
     :param received_orders: orders of the peer that are not settled yet.
+    :param pulls: bodies that the peer was asked for, by number.
+    :param offered: bodies of responses that the peer may ask for, by number.
+    :param takes_parts: whether the peer asks for the bodies of responses.
     """
 
     def __init__(
@@ -109,6 +118,9 @@
         self.dispatch_numbers = itertools.count(1)
         self.sent_orders: dict[int, forwarding.Order] = {}
         self.received_orders: dict[int, forwarding.Order] = {}
+        self.pulls: dict[int, bodypulls.BodyPull] = {}
+        self.offered: dict[int, bodies.Body] = {}
+        self.takes_parts = False
         self.host = host
         self.incarnation = 0
         self.received_at = deadlines.now()
@@ -170,8 +182,10 @@
             self.owner.counts.add('far-writes')
         self.transport.write(raw)
 
-    def dispatch(self, order: forwarding.Order) -> None:
-        """Send an order to the other side's guard."""
+    def dispatch(self, order: forwarding.Order) -> bool:
+        """Send an order to the other side's guard; False if it can't be."""
+        if self.closed or self.backlog > MAX_BACKLOG_BYTES:
+            return False
         now = deadlines.now()
         number = next(self.dispatch_numbers)
         order.number = number
@@ -179,10 +193,26 @@
             self.unanswered_since = now
         self.sent_orders[number] = order
         self.send(frameconversion.dispatch_frame(number, order, now))
+        return True
+
+    @property
+    def backlog(self) -> int:
+        """Bytes that the peer has not taken yet."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    @property
+    def delivers(self) -> bool:
+        """Whether responses are still to be taken by the peer."""
+        return bool(self.offered or self.write_queue or self.backlog)
 
     def withdraw(self, order: forwarding.Order) -> None:
         """Tell the peer that the outcome of `order` is no longer needed."""
         self.send(frames.Cancel(order.number))
+        if order.number in self.pulls:
+            # The peer has settled the order already.
+            self._settle(order.number, forwarding.ResponseLost('withdrawn'))
 
     def data_received(self, data: bytes) -> None:
         self.received_at = deadlines.now()
@@ -202,7 +232,11 @@
                 refused = forwarding.Refused(forwarding.Refusal.WITHDRAWN)
                 self._reply(frame, refused)
                 continue
-            self._handle_frame(frame)
+            try:
+                self._handle_frame(frame)
+            except frames.BadFrame:
+                self.close()
+                return
 
     def _handle_frame(self, frame: frames.Frame) -> None:
         # Ordered by frequency.  ``functools.singledispatch`` would cost more
@@ -220,14 +254,16 @@
                 lost.number, forwarding.ResponseLost(lost.detail, lost.crashed)
             )
         elif kind is frames.BodyWanted:
-            self._body_wanted(cast(frames.BodyWanted, frame).number)
+            self._body_wanted(cast(frames.BodyWanted, frame))
         elif kind is frames.Body:
-            body = cast(frames.Body, frame)
-            awaiting_order = self.received_orders.get(body.number)
-            if awaiting_order is not None:
-                self.guard.receive_body(awaiting_order, body.body)
+            part = cast(frames.Body, frame)
+            pull = self.pulls.get(part.number)
+            if pull is not None:
+                pull.receive(part.body)
         elif kind is frames.Cancel:
-            order = self.received_orders.get(cast(frames.Cancel, frame).number)
+            number = cast(frames.Cancel, frame).number
+            self.offered.pop(number, None)
+            order = self.received_orders.get(number)
             if order is not None:
                 self.guard.cancel(order)
         elif kind is frames.Ping:
@@ -256,6 +292,7 @@
         self.incarnation = hello.incarnation
         self.has_slow_link = hello.has_slow_link
         self.version = hello.version
+        self.takes_parts = hello.takes_parts
         if not self.dialled:
             self.zone = hello.availability_zone
             self._send_hello()
@@ -264,26 +301,73 @@
     def _dispatch_received(self, dispatch: frames.Dispatch) -> None:
         now = deadlines.now()
         number = dispatch.number
+        memory = self.guard.room.account
+        size = len(dispatch.head) + len(dispatch.body)
+        if not memory.take(memoryaccount.Kind.SMALL, size):
+            self.guard.room.counts.add('requests.no-room')
+            self._reply(
+                dispatch,
+                forwarding.Refused(
+                    forwarding.Refusal.NO_ROOM, listener.NO_ROOM_RETRY_AFTER_S
+                ),
+            )
+            return
 
         def done(outcome: forwarding.Outcome) -> None:
             self.received_orders.pop(number, None)
+            self.pulls.pop(number, None)
+            memory.give_back(size)
             self._reply(dispatch, outcome)
 
         order = frameconversion.order_from_frame(dispatch, now, done)
         if dispatch.body_deferred:
-            order.fetch_body = lambda: self.send(frames.BodyWanted(number))
+            self._await_request_body(order, dispatch.body_size or None)
         self.received_orders[number] = order
         self.guard.submit(order)
 
-    def _body_wanted(self, number: int) -> None:
-        order = self.sent_orders.get(number)
-        if order is not None:
-            self.send(frames.Body(number, order.body))
+    def _await_request_body(
+        self, order: forwarding.Order, size: int | None
+    ) -> None:
+        """Have the guard ask for a body if it accepts the order."""
+        incoming = bodies.IncomingBody(
+            self.guard.room.account, memoryaccount.Kind.REQUEST, size
+        )
+
+        def completed(body: bodies.Body) -> None:
+            self.pulls.pop(order.number, None)
+            self.guard.receive_body(order, body)
+
+        pull = bodypulls.BodyPull(order.number, incoming, self.send, completed)
+        self.pulls[order.number] = pull
+        order.reserve_body = incoming.claim
+        order.fetch_body = pull.start
+
+    def _body_wanted(self, wanted: frames.BodyWanted) -> None:
+        number = wanted.number
+        body: bodies.Body | None = self.offered.get(number)
+        if self.dialled:
+            order = self.sent_orders.get(number)
+            body = order.body if order is not None else None
+        if body is None:
+            return
+        end = wanted.offset + (wanted.size or len(body))
+        self.send(frames.Body(number, bytes(body[wanted.offset : end])))
+        if end >= len(body):
+            self.offered.pop(number, None)
 
     def _reply(
         self, dispatch: frames.Dispatch, outcome: forwarding.Outcome
     ) -> None:
         run_s = self.guard.queue.times.expected_s(dispatch.route)
+        deferred = (
+            self.takes_parts
+            and not self.closed
+            and isinstance(outcome, forwarding.TargetAnswer)
+            and len(outcome.body) > bodies.SMALL_BODY_BYTES
+        )
+        if deferred:
+            assert isinstance(outcome, forwarding.TargetAnswer)
+            self.offered[dispatch.number] = outcome.body
         self.send(
             frameconversion.outcome_frame(
                 dispatch.number,
@@ -292,6 +376,7 @@
                 run_s,
                 self._failing_percent(),
                 self.guard.adverts.stated,
+                deferred,
             )
         )
 
@@ -305,7 +390,38 @@
         self._report_load(answer.load, answer.failing)
         self._report_run(answer.number, answer.run_ms)
         self._report_statement(answer.stated, True)
-        self._settle(answer.number, frameconversion.answer_from_frame(answer))
+        if answer.body_size:
+            self._pull_answer(answer)
+        else:
+            self._settle(
+                answer.number,
+                frameconversion.answer_from_frame(answer, answer.body),
+            )
+
+    def _pull_answer(self, answer: frames.Answered) -> None:
+        """Ask for the body of a response once there is room for it."""
+        number = answer.number
+        if number not in self.sent_orders:
+            self.send(frames.Cancel(number))
+            return
+        room = self.guard.room
+        incoming = bodies.IncomingBody(
+            room.account, memoryaccount.Kind.RESPONSE, answer.body_size
+        )
+        pull = bodypulls.BodyPull(
+            number,
+            incoming,
+            self.send,
+            lambda body: self._settle(
+                number, frameconversion.answer_from_frame(answer, body)
+            ),
+        )
+        self.pulls[number] = pull
+        if not pull.wait_for_room(room):
+            self.send(frames.Cancel(number))
+            self._settle(
+                number, forwarding.ResponseLost('no room for the answer')
+            )
 
     def _refusal_received(self, refusal: frames.RefusedFrame) -> None:
         self._report_load(refusal.load, refusal.failing)
@@ -332,6 +448,9 @@
             self.on_run(order.route, run_ms / 1000)
 
     def _settle(self, number: int, outcome: forwarding.Outcome) -> None:
+        pull = self.pulls.pop(number, None)
+        if pull is not None:
+            pull.cancel()
         order = self.sent_orders.pop(number, None)
         if order is not None:
             order.settle(outcome)
@@ -364,9 +483,10 @@
     def _reroute_idempotent(self) -> None:
         for number, order in list(self.sent_orders.items()):
             if order.idempotent and order.may_move():
-                del self.sent_orders[number]
                 self.send(frames.Cancel(number))
-                order.settle(forwarding.ResponseLost(f'{self.host} is silent'))
+                self._settle(
+                    number, forwarding.ResponseLost(f'{self.host} is silent')
+                )
 
     @property
     def suspect(self) -> bool:
@@ -384,6 +504,10 @@
             return
         self.closed = True
         self.owner.stream_lost(self)
+        for pull in self.pulls.values():
+            pull.cancel()
+        self.pulls.clear()
+        self.offered.clear()
         for order in list(self.received_orders.values()):
             # The response can no longer be delivered.
             self.guard.cancel(order)
--- a/src/peridotpost/proxy/reachability.py
+++ b/src/peridotpost/proxy/reachability.py
@@ -49,10 +49,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostAnswer:
-    """A request whose response was lost, and the time of the loss."""
+    """The fingerprint of a request whose response was lost, and when."""
 
     at: float
-    order: forwarding.Order
+    fingerprint: str
 
 
 class Reachability:
@@ -74,7 +74,10 @@
 
     def answer_lost(self, order: forwarding.Order) -> None:
         """Record a lost response and check whether the target crashed."""
-        self.lost_answers.append(LostAnswer(deadlines.now(), order))
+        fingerprint = poison.fingerprint(
+            order.method, order.target, order.body
+        )
+        self.lost_answers.append(LostAnswer(deadlines.now(), fingerprint))
         self._check_now()
 
     def instance_replaced(self) -> None:
@@ -85,9 +88,7 @@
         """Handle a failed connect, which means a crashed or gone target."""
         now = deadlines.now()
         suspects = tuple(
-            poison.fingerprint(
-                lost.order.method, lost.order.target, lost.order.body
-            )
+            lost.fingerprint
             for lost in self.lost_answers
             if now - lost.at <= CRASH_WINDOW_S
         )
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -11,9 +11,11 @@
 from peridotpost.model import forwarding
 from peridotpost.model import instances
 from peridotpost.proxy import advertisements
+from peridotpost.proxy import bodies
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import headernames
 from peridotpost.proxy import http1
+from peridotpost.proxy import listener
 
 CONNECT_TIMEOUT_S = 0.5
 """A target on the same host accepts a connection in about a millisecond; one
@@ -39,6 +41,9 @@
 class TargetConnection(asyncio.Protocol):
     """One connection that carries one request at a time.
 
+    Reading pauses while there is no room for a large response.
+
+    :param room: memory for responses.
     :param incarnation: the target's incarnation when it was opened.
     :param on_release: called when a request ends or the connection is lost,
         with whether it was lost during a request.
@@ -51,15 +56,18 @@
         header_names: headernames.HeaderNames,
         incarnation: instances.Incarnation,
         on_release: ReleaseCallback,
+        room: bodies.Room,
     ) -> None:
         self.header_names = header_names
+        self.room = room
+        self.room_wait: bodies.RoomWait | None = None
         self.incarnation = incarnation
         self.advertisement: advertisement.Advertisement | None = None
         self.on_release = on_release
         self.order: forwarding.Order | None = None
         self.outcome: forwarding.Outcome | None = None
         self.transport: asyncio.Transport | None = None
-        self.reader = http1.MessageReader(header_names, self)
+        self.reader = http1.MessageReader(header_names, self, room.account)
         self.reader.max_body_bytes = MAX_BODY_BYTES
         self.parser = http1.response_parser(self.reader)
         self.partial_response: http1.Message | None = None
@@ -73,12 +81,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
-    def send(self, order: forwarding.Order, payload: bytes) -> None:
+    def send(
+        self, order: forwarding.Order, payload: list[bodies.Body]
+    ) -> None:
         assert self.transport is not None
         self.order = order
         self.outcome = None
         self.advertisement = None
-        self.transport.write(payload)
+        self.transport.writelines(payload)
 
     def is_usable(self, now: float, non_idempotent: bool = False) -> bool:
         """Whether a request may be sent on this idle connection.
@@ -109,19 +119,57 @@
             if self.outcome is None:
                 detail = f'answer is not HTTP: {type(error).__name__}'
                 self.outcome = forwarding.ResponseLost(detail)
+        if self.outcome is None:
+            self._claim_room(self.reader.message)
         if self.outcome is not None:
             self._finish()
 
+    def _claim_room(self, message: http1.Message) -> None:
+        """Pause reading while there is no room for a large response.
+
+        The target has run the request, so the response waits until its
+        request is given up.
+        """
+        incoming = message.incoming
+        if incoming is None or self.room_wait is not None or incoming.claim():
+            return
+        wait = bodies.RoomWait(
+            incoming, self.room.timer, lambda: self._room_granted(message)
+        )
+        if wait.claim is None:
+            self.reusable = False
+            self.outcome = forwarding.ResponseLost('no room for the answer')
+            return
+        self.room.counts.add('answers.paused')
+        self.room_wait = wait
+        assert self.transport is not None
+        self.transport.pause_reading()
+
+    def _room_granted(self, message: http1.Message) -> None:
+        self.room_wait = None
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.resume_reading()
+        if self.reader.message is not message and self.order is not None:
+            # All of it had arrived before there was room.
+            self.message_read(message)
+            if self.outcome is not None:
+                self._finish()
+
     def head_read(self, message: http1.Message) -> None:
         self.partial_response = message
+        message.status = self.parser.get_status_code()
         if not self.parser.should_keep_alive() or not message.framed:
             self.reusable = False
 
     def message_read(self, message: http1.Message) -> None:
         self.partial_response = None
-        message.status = self.parser.get_status_code()
         if message.status < 200:
             return
+        http1.complete_body(message)
+        if message.incoming is not None:
+            self._claim_room(message)
+            return
         order = self.order
         if order is None or self.outcome is not None:
             self.reusable = False
@@ -145,8 +193,7 @@
         message = self.partial_response
         if message is not None and not message.framed and self.order:
             # A response without a length ends with the connection.
-            message.body = b''.join(message.body_chunks)
-            message.body_chunks = []
+            self.reader.message = http1.NO_MESSAGE
             self.message_read(message)
             if self.outcome is not None:
                 self._finish()
@@ -154,8 +201,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         order = self.order
-        self.order = None
+        self._let_go()
         self.closed = True
+        # The parser refers to the reader.  A cycle would keep the connection
+        # until the next collection.
+        self.reader.sink = listener.NO_SINK
         self.on_release(self, order is not None)
         if order is not None:
             detail = 'target reset' if exc else 'target closed'
@@ -164,9 +214,19 @@
     def abort(self) -> None:
         """Abort the current request; the target may stop running it."""
         self.aborted = True
-        self.order = None
+        self._let_go()
         self.close()
 
+    def _let_go(self) -> None:
+        """Forget the current request and what has arrived of its response."""
+        self.order = None
+        self.outcome = None
+        self.partial_response = None
+        self.reader.message = http1.NO_MESSAGE
+        if self.room_wait is not None:
+            self.room_wait.cancel()
+            self.room_wait = None
+
     def close(self) -> None:
         self.closed = True
         if self.transport is not None:
@@ -177,6 +237,7 @@
         assert order is not None and outcome is not None
         assert self.transport is not None
         self.order = None
+        self.outcome = None
         if self.transport.get_write_buffer_size():
             # The target responded before it read the whole body.  It would
             # read the rest of the body as the next request.
@@ -253,6 +314,7 @@
     announced: instances.Announcement,
     header_names: headernames.HeaderNames,
     on_release: ReleaseCallback,
+    room: bodies.Room,
 ) -> TargetConnection:
     """Open a connection to an announced target.
 
@@ -262,7 +324,7 @@
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         transport, protocol = await loop.create_connection(
             lambda: TargetConnection(
-                header_names, announced.incarnation, on_release
+                header_names, announced.incarnation, on_release, room
             ),
             announced.address,
             announced.port,
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+from urllib import parse
 
 
 @dataclasses.dataclass(slots=True)
@@ -240,6 +241,12 @@
     return False
 
 
+def _response_of_size(worker: Worker, request: Request) -> bytes:
+    """Return a response with as many bytes as the query says."""
+    query = parse.parse_qs(request.target.partition('?')[2])
+    return worker.render_response(request, b'r' * int(query['size'][0]))
+
+
 def _error_response(worker: Worker, request: Request) -> bytes:
     return worker.render_response(request).replace(b'200 OK', b'500 Failed')
 
@@ -275,6 +282,7 @@
 
 ACTIONS: dict[str, Action] = {
     'ok': _respond,
+    'sized': _respond_with(_response_of_size, True),
     'early': _already_answered,
     'hold': _hold,
     'reset': _reset,
--- a/testing/test_customers.py
+++ b/testing/test_customers.py
@@ -229,20 +229,25 @@
 
 
 class Sink:
-    """Ignores what a reader reports."""
+    """Keeps the messages that a reader reports."""
+
+    def __init__(self) -> None:
+        self.messages: list[http1.Message] = []
 
     def head_read(self, message: http1.Message) -> None:
         pass
 
     def message_read(self, message: http1.Message) -> None:
-        pass
+        self.messages.append(message)
 
 
 def read_request(*header_lines: str) -> http1.Message:
-    reader = http1.MessageReader(headers.HEADERS, Sink())
+    sink = Sink()
+    reader = http1.MessageReader(headers.HEADERS, sink)
     lines = ('GET / HTTP/1.1', 'Host: x', *header_lines, 'X-Own: 1', '', '')
     http1.request_parser(reader).feed_data('\r\n'.join(lines).encode())
-    return reader.message
+    (message,) = sink.messages
+    return message
 
 
 KNOWN = [f'Authorization: token {KEY}']
--- a/testing/test_proxy_bodies.py
+++ b/testing/test_proxy_bodies.py
@@ -94,12 +94,12 @@
     ends: str, always_busy: None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The body is delayed on the network while its request has a slot."""
-    held: list[tuple[peers.PeerStream, int]] = []
+    held: list[tuple[peers.PeerStream, frames.BodyWanted]] = []
     wanted = peers.PeerStream._body_wanted
     monkeypatch.setattr(
         peers.PeerStream,
         '_body_wanted',
-        lambda stream, number: held.append((stream, number)),
+        lambda stream, frame: held.append((stream, frame)),
     )
     async with proxies.running() as mesh:
         host = await add_host_and_remote_target(mesh)
--- a/testing/test_target_leaving.py
+++ b/testing/test_target_leaving.py
@@ -6,12 +6,14 @@
 import pytest
 
 from peridotpost.decisions import budget
+from peridotpost.decisions import memoryaccount
 from peridotpost.kernel import counters
 from peridotpost.kernel import jsonlog
 from peridotpost.model import advertisement
 from peridotpost.model import forwarding
 from peridotpost.model import instances
 from peridotpost.platform import headers
+from peridotpost.proxy import bodies
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import guard as guards
 from testing import conditions
@@ -36,9 +38,12 @@
     idle_guard = guards.Guard(
         headers.HEADERS,
         random.Random(1),
-        deadlines.DeadlineTimer(),
         budget.RetryBudget(0.2, 60, 10),
-        counters.Counters(),
+        bodies.Room(
+            memoryaccount.MemoryAccount(1 << 20, lambda grant: grant()),
+            deadlines.DeadlineTimer(),
+            counters.Counters(),
+        ),
         jsonlog.JsonLog('a', -1),
     )
     idle_guard.accept_announcement(announcement(1))
