A stop waits until answers are delivered

Cause: an answer counted as sent when the transport had taken it. The stop saw no request in progress and the process ended with the rest in its buffers, also in those of streams to other hosts.

Change: a connection is busy until its caller has taken the whole answer, and a stream until the peer has.

The new test fails without the change, in both cases ("Left contains one more item"), and passes with it.

--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -346,7 +346,12 @@
         self.log.state('stage', to='left', in_flight=self._in_flight())
 
     def _in_flight(self) -> int:
-        return self.requests.busy_count + self.guard.in_flight
+        """Return how many requests are not answered completely."""
+        return (
+            self.requests.busy_count
+            + self.guard.in_flight
+            + self.directory.delivering_count()
+        )
 
     def _apply_config(self, config: mesh.MeshConfig) -> None:
         self.forwarder.config = config
--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -463,8 +463,8 @@
 
     @property
     def busy_count(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(connection.busy for connection in self.connections)
+        """Number of connections with a request or response in progress."""
+        return sum(connection.occupied for connection in self.connections)
 
     def no_room_reply(self) -> Reply:
         """Count and return the rejection of a request without room."""
--- a/testing/test_proxy_leaving.py
+++ b/testing/test_proxy_leaving.py
@@ -5,6 +5,7 @@
 import pytest
 
 from peridotpost.decisions import incarnations
+from peridotpost.decisions import memoryaccount
 from peridotpost.model import instances
 from testing import conditions
 from testing import proxies
@@ -225,3 +226,59 @@
             host.worker.release.set()
         assert (await held).status == 200
         await leaving
+
+
+async def leave_and_list_undelivered(host: proxies.Host) -> list[object]:
+    """Stop a proxy; return what was not delivered when it was done."""
+    await host.proxy.leave()
+    deliveries: list[object] = [
+        one for one in host.proxy.requests.connections if one.occupied
+    ]
+    deliveries += [
+        one for one in host.proxy.directory.accepted_streams if one.delivers
+    ]
+    return deliveries
+
+
+@pytest.mark.parametrize('remote', [False, True])
+async def test_stopping_proxy_delivers_responses_to_slow_readers(
+    remote: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stop that cuts off responses in write buffers.
+
+    They counted as sent, so the process ended within its grace period with
+    most of a response unsent.
+    """
+    monkeypatch.setattr('peridotpost.mesh.daemon.GUARD_STOP_DELAY_S', 0.0)
+    monkeypatch.setattr('peridotpost.mesh.daemon.LISTEN_STOP_DELAY_S', 0.0)
+    size = 20_000_000
+    async with proxies.pair() as (_, first, second):
+        await second.send_rpc('instances.leave', 'i-b', b'')
+        await conditions.until(
+            lambda: not second.proxy.directory.own_candidate.ready
+        )
+        account = second.proxy.memory
+        taken = account.limits[memoryaccount.Kind.RESPONSE]
+        if remote:
+            # The other proxy does not ask for the response yet.
+            assert account.take(memoryaccount.Kind.RESPONSE, taken)
+        ingress = second if remote else first
+        async with ingress.caller() as caller:
+            caller.send(f'/read/sized?size={size}')
+            await conditions.until(
+                lambda: bool(
+                    account.waiting_count
+                    if remote
+                    else any(
+                        one.delivering
+                        for one in first.proxy.requests.connections
+                    )
+                )
+            )
+            leaving = asyncio.ensure_future(leave_and_list_undelivered(first))
+            await conditions.until(lambda: first.proxy.requests.server is None)
+            if remote:
+                account.give_back(taken)
+            answer = await caller.receive()
+            assert len(answer.body) == size
+        assert await leaving == []
