A drain takes effect whatever its sequence number

Cause: announcements of an incarnation were ordered by sequence number alone. One heartbeat of another writer with a higher number made the target's own draining count as late, and it was acknowledged without effect.

Change: draining is final in an incarnation, so it needs no order. Ready announcements are ordered as before. Heartbeats without some fields are still accepted: the new test shows the fault with all fields present.

--- a/src/peridotpost/decisions/incarnations.py
+++ b/src/peridotpost/decisions/incarnations.py
@@ -7,7 +7,8 @@
 
 Incarnations are ordered by their start time, announcements of one
 incarnation by their sequence number.  A target that announced that it is
-draining or gone never becomes ready again in the same incarnation.
+draining or gone never becomes ready again in the same incarnation, so such an
+announcement takes effect whatever its sequence number.
 """
 
 from peridotpost.model import instances
@@ -33,7 +34,11 @@
         ):
             return False
         current = self.current
-        if current is not None and not _is_newer(announcement, current):
+        if (
+            current is not None
+            and not _is_newer(announcement, current)
+            and not _ends(announcement, current)
+        ):
             return False
         self.current = announcement
         if announcement.state is not instances.InstanceState.READY:
@@ -67,6 +72,16 @@
     return announcement.sequence > current.sequence
 
 
+def _ends(
+    announcement: instances.Announcement, current: instances.Announcement
+) -> bool:
+    """Whether an announcement says that the current incarnation leaves."""
+    return (
+        announcement.state is not instances.InstanceState.READY
+        and announcement.incarnation == current.incarnation
+    )
+
+
 def _differs(
     announcement: instances.Announcement, current: instances.Announcement
 ) -> bool:
--- a/testing/test_proxy_leaving.py
+++ b/testing/test_proxy_leaving.py
@@ -62,6 +62,18 @@
             'i-1',
             id='same id, message of the earlier incarnation',
         ),
+        pytest.param(
+            [announcement(sequence=99)],
+            announcement(sequence=5, state=DRAINING),
+            None,
+            id='drain with an earlier sequence number',
+        ),
+        pytest.param(
+            [announcement(born=2000)],
+            announcement(born=1000, sequence=99, state=DRAINING),
+            'i-1',
+            id='drain of the earlier incarnation',
+        ),
     ],
 )
 def test_late_announcement_never_revives_a_target(
@@ -128,6 +140,26 @@
         assert len(second.worker.runs) == 6 + 5
 
 
+async def test_drain_is_kept_after_a_heartbeat_of_another_writer() -> None:
+    """Guards against an acknowledged drain without effect.
+
+    Another process had sent a heartbeat of the target with a higher sequence
+    number.
+    """
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.wait_ready()
+        assert await host.announce(seq=1000) == 200
+        assert await host.announce(state='draining') == 200
+        assert not host.proxy.guard.status().ready
+        assert await host.announce(seq=1001) == 200
+        assert not host.proxy.guard.status().ready
+        assert (await host.ask('/read/ok')).status == 503
+        assert host.worker.runs == []
+
+
 async def test_target_that_leaves_without_drain_gets_no_requests() -> None:
     async with proxies.pair() as (_, first, second):
         status = await first.send_rpc(
