Open connections follow the size limits in force

Cause: a connection copied the limits when it was opened.

Change: they are read when a request begins.

The new test gets 413 without the change.

--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -95,8 +95,6 @@
             port.memory,
             memoryaccount.Kind.REQUEST,
         )
-        self.reader.max_body_bytes = port.limits.max_body_bytes
-        self.reader.max_head_bytes = port.limits.max_header_bytes
         self.parser = http1.request_parser(self.reader)
         self.waiting: list[http1.Message] = []
         self.current: http1.Message | None = None
@@ -134,8 +132,12 @@
     def data_received(self, data: bytes) -> None:
         if self.reading_stopped:
             return
-        if not self.occupied and not self.reading_message:
-            self.state_since = deadlines.now()
+        if not self.reading_message:
+            if not self.occupied:
+                self.state_since = deadlines.now()
+            limits = self.port.limits
+            self.reader.max_body_bytes = limits.max_body_bytes
+            self.reader.max_head_bytes = limits.max_header_bytes
         try:
             self.parser.feed_data(data)
             self._claim_room(self.reader.message)
--- a/testing/test_proxy_callers.py
+++ b/testing/test_proxy_callers.py
@@ -246,3 +246,30 @@
             monkeypatch.undo()
             caller.writer.write(b'x')
             assert (await caller.receive()).status == 200
+
+
+async def test_open_connection_follows_the_limits_in_force() -> None:
+    """Guards against size limits of the version when it was opened."""
+    async with proxies.running() as mesh:
+        limits = {'maxHeaderBytes': 4096, 'maxBodyBytes': 1000}
+        await mesh.kv.configure(proxies.config(1, limits=limits))
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.wait_ready()
+        async with host.caller() as caller:
+            assert (await caller.ask('/read/ok')).status == 200
+            limits = {'maxHeaderBytes': 4096, 'maxBodyBytes': 100_000}
+            await mesh.kv.configure(proxies.config(2, limits=limits))
+            await conditions.until(lambda: host.proxy.versions.version == 2)
+            answer = await caller.ask(
+                '/write/ok', method='POST', attempt='w1', body=b'x' * 50_000
+            )
+            assert answer.status == 200
+            limits = {'maxHeaderBytes': 200, 'maxBodyBytes': 1000}
+            await mesh.kv.configure(proxies.config(3, limits=limits))
+            await conditions.until(lambda: host.proxy.versions.version == 3)
+            answer = await caller.ask(
+                '/write/ok', method='POST', attempt='w2', body=b'x' * 50_000
+            )
+            assert answer.status == 413
+        assert host.worker.attempts() == ['a1', 'w1']
