A connection with the start of a second answer is not used again

Cause: after a whole answer the connection went back to the idle pool although its parser had begun another message, which the next answer then continued.

Change: it is closed if the reader is within a message.

--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -242,6 +242,10 @@
             # The target responded before it read the whole body.  It would
             # read the rest of the body as the next request.
             self.reusable = False
+        if self.reader.in_progress:
+            # A second response has begun.  Its rest would be read as the
+            # response to the next request.
+            self.reusable = False
         if not self.reusable:
             self.close()
         self.idle_since = deadlines.now()
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -263,6 +263,14 @@
     )
 
 
+def _extra_response_breaks_off(worker: Worker, request: Request) -> bytes:
+    """Add the first bytes of a second response to a whole one."""
+    query = parse.parse_qs(request.target.partition('?')[2])
+    size = int(query['bytes'][0])
+    extra = worker.render_response(request, b'other')
+    return worker.render_response(request) + extra[:size]
+
+
 def _other_response_first(worker: Worker, request: Request) -> bytes:
     other = dataclasses.replace(request, headers={'x-attempt-id': 'other'})
     return worker.render_response(other, b'wrong') + worker.render_response(
@@ -312,6 +320,7 @@
     'failed': _respond_with(_error_response, True),
     'unframed': _respond_with(_response_without_length, False),
     'second': _respond_with(_extra_response, True),
+    'second-breaks-off': _respond_with(_extra_response_breaks_off, True),
     'foreign-first': _respond_with(_other_response_first, True),
 }
 
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -46,6 +46,35 @@
         assert ran.count('w1') <= 1
 
 
+@pytest.mark.parametrize('size', [1, 9, 13, 16, 25, 45, 80, 120])
+async def test_surplus_response_that_breaks_off_is_not_continued(
+    size: int,
+) -> None:
+    """Guards against a parser that continues it with the next response.
+
+    Callers got the status of one response with the body of another, or a
+    non-idempotent request was taken for one that had not run.
+    """
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.wait_ready()
+        async with host.caller() as caller:
+            for number in range(3):
+                path = f'/read/second-breaks-off?bytes={size}'
+                answer = await caller.ask(path, attempt=f'r{number}')
+                assert (answer.status, answer.body) == (200, b'done')
+                answer = await caller.ask(
+                    '/write/failed',
+                    method='POST',
+                    attempt=f'w{number}',
+                    body=b'x',
+                )
+                assert answer.status == 500
+        assert host.worker.attempts() == ['r0', 'w0', 'r1', 'w1', 'r2', 'w2']
+
+
 async def test_surplus_response_is_not_given_to_the_next_request() -> None:
     """Guards against responses shifted by one request on a connection.
 
