--- a/src/peridotpost/proxy/http1.py
+++ b/src/peridotpost/proxy/http1.py
@@ -8,6 +8,7 @@
 from collections.abc import Container
 import dataclasses
 import http
+import re
 from typing import Protocol
 
 import httptools
@@ -32,6 +33,8 @@
 """Hop-by-hop headers (RFC 9110, section 7.6.1), and headers for body framing,
 which each sender generates itself."""
 
+PROTOCOL = b'HTTP/1.'
+STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}')
 REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
@@ -54,6 +57,7 @@
         it has arrived and has room.
     :param charged: bytes that are charged for the message itself.
     :param host_header_count: number of ``Host`` headers.
+    :param spliced: whether another response begins within its head.
     :param nominated_headers: header names listed in ``Connection``.
     :param credentials: value of the last header with credentials.
     :param credentials_count: number of headers with credentials.
@@ -83,6 +87,7 @@
     content_length: int | None = None
     incoming: bodies.IncomingBody | None = None
     charged: int = 0
+    spliced: bool = False
     host_header_count: int = 0
     nominated_headers: list[bytes] = dataclasses.field(default_factory=list)
     body_chunks: list[bytes] = dataclasses.field(default_factory=list)
@@ -154,12 +159,16 @@
 
     def on_status(self, status: bytes) -> None:
         self.message.reason += status
+        if STATUS_LINE.search(self.message.reason):
+            self.message.spliced = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         message = self.message
         message.head_bytes += len(name) + len(value)
         if message.head_bytes > self.max_head_bytes:
             raise TooLarge
+        if PROTOCOL in value and STATUS_LINE.search(value):
+            message.spliced = True
         lower = name.lower()
         header_names = self.header_names
         if lower in CONNECTION_HEADERS:
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -298,6 +298,8 @@
 def classify_response(message: http1.Message) -> forwarding.Outcome:
     """Return the outcome that a complete response means."""
     status = message.status
+    if message.spliced:
+        return forwarding.ResponseLost('answer within another answer')
     if message.not_run or status == 421:
         reason = forwarding.Refusal.SHED
         if status == 421:
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -34,6 +34,7 @@
     ``sheds`` makes it reject all requests without running them.
     ``forced_action`` selects an action for every request, whatever its path.
     ``limit`` and ``leaving`` are stated in all responses unless empty.
+    ``extra_headers`` are header lines added to all responses.
     ``dropped`` holds the requests whose sender closed the connection early.
     """
 
@@ -44,6 +45,7 @@
         self.forced_action = ''
         self.limit = ''
         self.leaving = ''
+        self.extra_headers = ''
         self.runs: list[Request] = []
         self.rejected: list[Request] = []
         self.dropped: list[Request] = []
@@ -148,7 +150,7 @@
 
     def statements(self) -> str:
         """Return the header lines about the target itself."""
-        lines = ''
+        lines = self.extra_headers
         if self.limit:
             lines += f'Server-Limit: {self.limit}\r\n'
         if self.leaving:
@@ -271,6 +273,14 @@
     return worker.render_response(request) + extra[:size]
 
 
+def _broken_response_first(worker: Worker, request: Request) -> bytes:
+    """Fail after the first bytes of a late response to another request."""
+    query = parse.parse_qs(request.target.partition('?')[2])
+    late = b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: other\r\n'
+    size = int(query['bytes'][0])
+    return late[:size] + _error_response(worker, request)
+
+
 def _other_response_first(worker: Worker, request: Request) -> bytes:
     other = dataclasses.replace(request, headers={'x-attempt-id': 'other'})
     return worker.render_response(other, b'wrong') + worker.render_response(
@@ -321,6 +331,7 @@
     'unframed': _respond_with(_response_without_length, False),
     'second': _respond_with(_extra_response, True),
     'second-breaks-off': _respond_with(_extra_response_breaks_off, True),
+    'broken-first': _respond_with(_broken_response_first, True),
     'foreign-first': _respond_with(_other_response_first, True),
 }
 
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -75,6 +75,37 @@
         assert host.worker.attempts() == ['r0', 'w0', 'r1', 'w1', 'r2', 'w2']
 
 
+@pytest.mark.parametrize('size', range(1, 61))
+async def test_late_response_that_breaks_off_is_not_continued(
+    size: int,
+) -> None:
+    """Guards against a response made of two.
+
+    A target runs the request and fails.  A late response to another one, which
+    broke off, says that it was not run.
+    """
+    async with proxies.pair() as (_, first, second):
+        answer = await first.ask(
+            f'/write/broken-first?bytes={size}',
+            method='POST',
+            attempt='w1',
+            body=b'x',
+        )
+        assert answer.status in (500, 502)
+        ran = first.worker.attempts() + second.worker.attempts()
+        assert ran == ['w1']
+
+
+async def test_response_that_names_the_protocol_of_a_hop_is_whole() -> None:
+    """Guards against responses taken for spliced ones."""
+    async with proxies.pair() as (_, first, second):
+        for host in (first, second):
+            host.worker.extra_headers = 'Via: HTTP/1.1 cache\r\n'
+        answer = await first.ask('/read/ok')
+        assert answer.status == 200
+        assert answer.headers['via'] == 'HTTP/1.1 cache'
+
+
 async def test_surplus_response_is_not_given_to_the_next_request() -> None:
     """Guards against responses shifted by one request on a connection.
 
