A request that offers an upgrade keeps its body

Cause: the parser ends such a request after its head, in case another protocol follows.

Change: the request waits until a parser without the offer has read its body.

--- a/src/peridotpost/proxy/http1.py
+++ b/src/peridotpost/proxy/http1.py
@@ -140,6 +140,7 @@
         self.max_body_bytes = 1 << 30
         self.max_head_bytes = 1 << 20
         self.message = NO_MESSAGE
+        self.resumed: Message | None = None
         self.proxy_headers = {
             header_names.deadline,
             header_names.instance,
@@ -151,11 +152,16 @@
         """Whether a message has begun and is not complete."""
         return self.message is not NO_MESSAGE
 
+    def resume(self, message: Message) -> None:
+        """Add the body that a new parser reads to a message."""
+        self.resumed = message
+
     def on_message_begin(self) -> None:
-        self.message = Message()
+        self.message = self.resumed or Message()
 
     def on_url(self, url: bytes) -> None:
-        self.message.target += url
+        if self.resumed is None:
+            self.message.target += url
 
     def on_status(self, status: bytes) -> None:
         self.message.reason += status
@@ -163,6 +169,8 @@
             self.message.spliced = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.resumed is not None:
+            return
         message = self.message
         message.head_bytes += len(name) + len(value)
         if message.head_bytes > self.max_head_bytes:
@@ -220,6 +228,9 @@
             message.expects_continue = value.lower() == b'100-continue'
 
     def on_headers_complete(self) -> None:
+        if self.resumed is not None:
+            self.resumed = None
+            return
         message = self.message
         if message.nominated_headers:
             _drop_nominated_headers(message)
@@ -320,6 +331,18 @@
     return httptools.HttpRequestParser(reader)
 
 
+def render_body_head(message: Message) -> bytes:
+    """Return a head that has a parser read the body of a request."""
+    framing = b''
+    if message.content_length is not None:
+        framing = b'Content-Length: %d\r\n' % message.content_length
+    elif message.framed:
+        framing = b'Transfer-Encoding: chunked\r\n'
+    if not message.keep_alive:
+        framing += b'Connection: close\r\n'
+    return b'%s / HTTP/1.1\r\n%s\r\n' % (message.method, framing)
+
+
 def response_parser(reader: MessageReader) -> httptools.HttpResponseParser:
     return httptools.HttpResponseParser(reader)
 
--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -82,6 +82,7 @@
         has read a refusal and closes the connection.
     :param state_since: when it became idle, when the current message began
         to arrive, or when the client last read a part of a response.
+    :param declined: request that offers an upgrade, until its body is read.
     :param unread_body: large body of a response being written.
     :param charged: bytes that are charged for a response being written.
     """
@@ -98,6 +99,7 @@
         self.parser = http1.request_parser(self.reader)
         self.waiting: list[http1.Message] = []
         self.current: http1.Message | None = None
+        self.declined: http1.Message | None = None
         self.busy = False
         self.delivering = False
         self.discarding = False
@@ -139,12 +141,8 @@
             self.reader.max_body_bytes = limits.max_body_bytes
             self.reader.max_head_bytes = limits.max_header_bytes
         try:
-            self.parser.feed_data(data)
+            self._parse(data)
             self._claim_room(self.reader.message)
-        except httptools.HttpParserUpgrade:
-            # The request itself is complete and processed as usual; data of
-            # the other protocol that follows is not read.
-            self.reading_stopped = True
         except (
             httptools.HttpParserError,
             http1.TooLarge,
@@ -152,6 +150,26 @@
         ) as error:
             self._refuse(error)
 
+    def _parse(self, data: bytes) -> None:
+        while True:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                data = data[upgrade.args[0] :]
+            else:
+                return
+            message = self.declined
+            self.declined = None
+            if message is None:
+                # Data of a tunnel, which is not opened, is not read.
+                self.reading_stopped = True
+                return
+            # Declines the upgrade.  The parser treats what follows the head
+            # as another protocol, but it is the body of this request.
+            self.reader.resume(message)
+            self.parser = http1.request_parser(self.reader)
+            data = http1.render_body_head(message) + data
+
     def head_read(self, message: http1.Message) -> None:
         if self.reading_stopped:
             return
@@ -177,6 +195,9 @@
         self.head_complete = False
         message.method = self.parser.get_method()
         message.keep_alive = self.parser.should_keep_alive()
+        if self.parser.should_upgrade() and message.method != b'CONNECT':
+            self.declined = message
+            return
         self.waiting.append(message)
         self._begin_next()
         if len(self.waiting) > MAX_PIPELINED:
--- a/testing/test_proxy_callers.py
+++ b/testing/test_proxy_callers.py
@@ -273,3 +273,55 @@
             )
             assert answer.status == 413
         assert host.worker.attempts() == ['a1', 'w1']
+
+
+@pytest.mark.parametrize('whole', [True, False], ids=['whole', 'split'])
+@pytest.mark.parametrize('framing', ['length', 'chunked', 'none'])
+@pytest.mark.parametrize('size', [700, 90_000])
+async def test_request_that_offers_an_upgrade_keeps_its_body(
+    framing: str, size: int, whole: bool
+) -> None:
+    """Guards against requests that run without their bodies.
+
+    The parser took the body for data of the protocol that was offered.
+    """
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.wait_ready()
+        body = b'' if framing == 'none' else b'x' * size
+        lines = {
+            'length': f'Content-Length: {size}\r\n',
+            'chunked': 'Transfer-Encoding: chunked\r\n',
+            'none': '',
+        }[framing]
+        content = body
+        if framing == 'chunked':
+            content = b'%x\r\n%b\r\n0\r\n\r\n' % (size, body)
+        async with host.caller() as caller:
+            for number in range(2):
+                head = (
+                    f'POST /write/ok HTTP/1.1\r\nHost: {proxies.HOST}\r\n'
+                    f'X-Attempt-Id: w{number}\r\n'
+                    'Connection: Upgrade, HTTP2-Settings\r\n'
+                    f'Upgrade: h2c\r\nHTTP2-Settings: AAMA\r\n{lines}\r\n'
+                ).encode()
+                request = head + content
+                if not whole:
+                    caller.writer.write(request[: len(head) - 9])
+                    await conditions.until(
+                        lambda: any(
+                            one.reading_message
+                            for one in host.proxy.requests.connections
+                        )
+                    )
+                    request = request[len(head) - 9 :]
+                caller.writer.write(request)
+                assert (await caller.receive()).status == 200
+            assert (await caller.ask('/read/ok')).status == 200
+        runs = host.worker.runs
+        assert [run.attempt for run in runs] == ['w0', 'w1', 'a1']
+        assert [run.body for run in runs] == [body, body, b'']
+        assert 'http2-settings' not in runs[0].headers
+        assert host.proxy.memory.used == 0
