Soak: bodies up to the limit, and slow readers

A new check holds the most resident memory of each daemon against that. Sizes have a random generator of their own, so seeds without the option are as before.

--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -31,6 +31,12 @@
     is_flag=True,
     help='Requests are of customers whose keys and quotas change.',
 )
+@click.option(
+    '--large-bodies',
+    'with_large_bodies',
+    is_flag=True,
+    help='Some messages are as large as allowed; some callers read slowly.',
+)
 @click.option('--seconds', default=20.0, help='Duration of fault injection.')
 @click.option(
     '--folder',
@@ -44,6 +50,7 @@
     fleet_faults: bool,
     statements: bool,
     with_customers: bool,
+    with_large_bodies: bool,
     seconds: float,
     folder: pathlib.Path,
 ) -> None:
@@ -67,6 +74,7 @@
                 fleet_faults,
                 statements,
                 with_customers,
+                with_large_bodies,
             )
         )
         click.echo(
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -10,6 +10,7 @@
 from testing import proxies
 from testing.soak import customers
 from testing.soak import hosts
+from testing.soak import large_bodies
 from testing.soak import records
 from testing.soak import worker_program
 
@@ -53,12 +54,14 @@
         shared: 'SharedState',
         rng: random.Random,
         request_numbers: 'itertools.count[int]',
+        sizes: large_bodies.LargeBodies | None = None,
     ) -> None:
         self.host = host
         self.observed = observed
         self.shared = shared
         self.rng = rng
         self.request_numbers = request_numbers
+        self.sizes = sizes
 
     async def run_until(self, stop: asyncio.Event) -> None:
         while not stop.is_set():
@@ -129,6 +132,9 @@
                 prefix, version = 'open', 0
             if prefix != 'other' and self.rng.random() < CALL_PROBABILITY:
                 query += '&call=1'
+        response_size = self._draw_size() if action == 'work' else 0
+        if response_size:
+            query += f'&answer={response_size}'
         body = self._make_body(kind, number)
         return records.Asked(
             attempt=f'{self.host.name}-{number}',
@@ -141,13 +147,22 @@
             deadline_s=self.rng.uniform(MIN_DEADLINE_S, MAX_DEADLINE_S),
             body=body,
             route_version=version,
+            response_size=response_size,
             **identity,
         )
 
     def _make_body(self, kind: records.Kind, number: int) -> bytes:
         if kind is records.Kind.IDEMPOTENT:
             return b''
-        return f'body {number} '.encode() * self.rng.randint(1, 3000)
+        content = f'body {number} '.encode()
+        body = content * self.rng.randint(1, 3000)
+        size = self._draw_size()
+        if size:
+            body = (content * (size // len(content) + 1))[:size]
+        return body
+
+    def _draw_size(self) -> int:
+        return self.sizes.draw_size() if self.sizes is not None else 0
 
     async def _send(
         self, caller: proxies.Caller, request: records.Asked
@@ -170,8 +185,15 @@
         abandons = self.rng.random() < ABANDON_PROBABILITY
         if abandons:
             limit_s = self.rng.uniform(0.0, request.deadline_s)
+        pause_s = 0.0
+        if self.sizes is not None:
+            pause_s = self.sizes.draw_pause_s(request.deadline_s)
         try:
             async with asyncio.timeout(limit_s):
+                if len(body) > large_bodies.MIN_BODY_BYTES:
+                    await caller.writer.drain()
+                    request.sent = time.monotonic()
+                await asyncio.sleep(pause_s)
                 response = await caller.receive()
         except TimeoutError:
             request.ending = records.Ending.SILENT
@@ -184,7 +206,9 @@
         request.ending = records.Ending.ANSWERED
         request.status = response.status
         request.proof = response.headers.get('x-response-signature', '')
-        request.body = response.body
+        request.body = large_bodies.without_filler(
+            response.body, request.response_size
+        )
         request.stated_limit = response.headers.get('server-limit', '')
         request.stated_leaving = 'server-leaving' in response.headers
         return response.headers.get('connection', '').lower() != 'close'
@@ -212,12 +236,14 @@
         named after it.
     :param retry_abuse: callers retry rejected requests immediately.
     :param customers: None in a run without customers.
+    :param large_bodies: whether some bodies are as large as allowed.
     """
 
     def __init__(self) -> None:
         self.version = 0
         self.retry_abuse = False
         self.customers: customers.Customers | None = None
+        self.large_bodies = False
 
     def pick_version(self, rng: random.Random) -> int:
         return max(1, self.version - rng.randint(0, 4))
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -11,6 +11,7 @@
 from testing import proxies
 from testing.soak import callers
 from testing.soak import hosts
+from testing.soak import large_bodies
 from testing.soak import plan
 from testing.soak import records
 from testing.soak import worker_program
@@ -47,6 +48,8 @@
         async with self.config_lock:
             version = self.shared.version + 1
             text = proxies.config(version)
+            if self.shared.large_bodies:
+                text['limits']['maxBodyBytes'] = large_bodies.MAX_BODY_BYTES
             first = max(1, version - records.KEPT_VERSIONED_ROUTES + 1)
             text['routes'] += [
                 proxies.route(f'v{one}', f'/v{one}/', 'safe', 2, 'register')
--- a/testing/soak/hosts.py
+++ b/testing/soak/hosts.py
@@ -34,6 +34,7 @@
 
     :param targets_state_leaving: whether targets state in responses that they
         leave, some time before they announce it.
+    :param memory_mb: memory that the daemon may take.
     """
 
     name: str
@@ -43,6 +44,7 @@
     service: str
     folder: pathlib.Path
     targets_state_leaving: bool = False
+    memory_mb: int = 256
 
     @property
     def address(self) -> str:
@@ -215,6 +217,7 @@
             'listen': listen,
             'store': f'{spec.backend_address}:{STORE_PORT}',
             'shutdown': {'grace_s': SHUTDOWN_GRACE_S},
+            'memory_mb': spec.memory_mb,
         }
         path = spec.folder / f'{spec.name}.json'
         path.write_text(json.dumps(settings))
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -40,6 +40,7 @@
     :param may_be_refused: whether its key is invalid or its customer asks
         for more than its quota.
     :param is_call: whether a run made it, without a key.
+    :param response_size: length of the filler in its response.
     """
 
     attempt: str
@@ -62,6 +63,7 @@
     key: str = ''
     may_be_refused: bool = False
     is_call: bool = False
+    response_size: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -19,6 +19,8 @@
 from testing.soak import faults
 from testing.soak import hosts
 from testing.soak import invariants
+from testing.soak import large_bodies
+from testing.soak import memory
 from testing.soak import plan
 from testing.soak import records
 from testing.soak import worker_program
@@ -75,6 +77,7 @@
     fleet_faults: bool = False,
     statements: bool = False,
     with_customers: bool = False,
+    with_large_bodies: bool = False,
 ) -> RunResult:
     """Run a seed; the logs of the processes are written to `folder`.
 
@@ -83,6 +86,8 @@
         ``plan.generate_statement_faults``.
     :param with_customers: the configuration has customers; see
         ``plan.generate_customer_changes``.
+    :param with_large_bodies: some messages are as large as allowed, some
+        callers read slowly, and daemons have little memory.
     """
     # Targets inherit these dispositions.  Without them, a target that is
     # signalled to shed before it has installed its handlers would exit.
@@ -94,6 +99,7 @@
     observed = records.Records()
     kv = kv_standin.KvStore()
     shared = callers.SharedState()
+    shared.large_bodies = with_large_bodies
     names = [f'h{number}' for number in range(1, len(LAYOUT) + 1)]
     fault_plan = plan.generate_faults(seed, seconds, names)
     if fleet_faults:
@@ -109,15 +115,20 @@
         fleet: dict[str, hosts.Host] = {}
         env = faults.Environment(fleet, kv, observed, shared)
         await env.publish_next_version()
-        for spec in _host_specs(names, folder, statements):
+        for spec in _host_specs(names, folder, statements, with_large_bodies):
             fleet[spec.name] = await stack.enter_async_context(
                 hosts.running(spec, store, observed)
             )
+        sampler = memory.MemorySampler(fleet)
+        sampling = asyncio.ensure_future(sampler.run())
         await _run_faults(seed, fault_plan, env)
+        await tasks.cancel_and_wait(sampling)
     for host in fleet.values():
         host.load_target_notes()
         observed.disruptions += _stalls_without_cpu(host)
     result = _evaluate(seed, fault_plan, observed, folder)
+    if with_large_bodies:
+        result.broken.extend(sampler.violations())
     _write_records(result, observed, fault_plan, folder)
     return result
 
@@ -142,8 +153,12 @@
 
 
 def _host_specs(
-    names: list[str], folder: pathlib.Path, statements: bool
+    names: list[str],
+    folder: pathlib.Path,
+    statements: bool,
+    with_large_bodies: bool,
 ) -> list[hosts.HostSpec]:
+    memory_mb = large_bodies.MEMORY_MB if with_large_bodies else 256
     return [
         hosts.HostSpec(
             name,
@@ -153,6 +168,7 @@
             service,
             folder,
             targets_state_leaving=statements,
+            memory_mb=memory_mb,
         )
         for number, (name, (zone, service)) in enumerate(
             zip(names, LAYOUT, strict=True), start=1
@@ -177,6 +193,11 @@
                 env.shared,
                 random.Random(f'{seed} {name} {index}'),
                 request_numbers,
+                large_bodies.LargeBodies(
+                    random.Random(f'{seed} {name} {index} sizes')
+                )
+                if env.shared.large_bodies
+                else None,
             ).run_until(stop)
         )
         for name, host in env.fleet.items()
--- a/testing/soak/worker_program.py
+++ b/testing/soak/worker_program.py
@@ -20,6 +20,7 @@
 import click
 
 from testing.soak import customers
+from testing.soak import large_bodies
 from testing.standins import worker as worker_standin
 
 HEARTBEAT_S = 0.4
@@ -88,7 +89,13 @@
         assert isinstance(worker, RecordingWorker)
         await _call(worker, request)
     await asyncio.sleep(int(query.get('ms', ['0'])[0]) / 1000)
-    writer.write(worker.render_response(request))
+    size = int(query.get('answer', ['0'])[0])
+    body = b''
+    if size:
+        body = response_body(worker.instance, request.attempt)
+        body += large_bodies.FILLER * size
+    writer.write(worker.render_response(request, body))
+    await writer.drain()
     return True
 
 
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -439,6 +439,12 @@
         pytest.param(
             3, 12.0, {'with_customers': True}, id='keys and quotas change'
         ),
+        pytest.param(
+            11,
+            12.0,
+            {'with_large_bodies': True},
+            id='large bodies and slow readers',
+        ),
         # The store hung; watches sent meanwhile were lost, so that new
         # versions were in force seconds late on all hosts.
         pytest.param(382471730, 20.0, {}, id='watches lost in an outage'),
