--- a/testing/soak/large_bodies.py
+++ b/testing/soak/large_bodies.py
@@ -4,8 +4,8 @@
 
 MEMORY_MB = 64
 MAX_BODY_BYTES = 16_000_000
-MIN_BODY_BYTES = 50_000
-LARGE_PROBABILITY = 0.02
+MIN_BODY_BYTES = 200_000
+LARGE_PROBABILITY = 0.1
 SLOW_READER_PROBABILITY = 0.1
 MAX_PAUSE_SHARE = 0.5
 """Part of the deadline for which a slow reader may wait before it reads."""
