--- a/testing/test_peer_streams.py
+++ b/testing/test_peer_streams.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from peridotpost.decisions import memoryaccount
 from peridotpost.model import forwarding
 from peridotpost.proxy import deadlines
 from peridotpost.proxy import frames
@@ -217,3 +218,39 @@
         )
         assert peer.record == second.proxy.own_record
         assert peer.stream is stream
+
+
+async def test_response_offered_on_a_silent_stream_is_let_go() -> None:
+    """Guards against large responses kept for a connection that went silent.
+
+    New connections work.  The side that dialled notices the silence and dials
+    again, and its closing of the old connection never arrives.
+    """
+    response = memoryaccount.Kind.RESPONSE
+    async with proxies.pair(memory_mb=64.0) as (_, first, second):
+        await second.send_rpc('instances.leave', 'i-b', b'')
+        await conditions.until(
+            lambda: not second.proxy.directory.own_candidate.ready
+        )
+        account = second.proxy.memory
+        taken = account.limits[response]
+        assert account.take(response, taken)
+        asking = asyncio.ensure_future(
+            second.ask('/write/sized?size=5000000', method='PUT', body=b'x')
+        )
+        await conditions.until(lambda: account.waiting_count == 1)
+        (old,) = first.proxy.directory.accepted_streams
+        assert first.proxy.memory.used >= 5_000_000
+        stream = second.proxy.directory.peers['a'].stream
+        for one in (old, stream):
+            assert one is not None and one.transport is not None
+            one.transport.pause_reading()
+        assert stream is not None
+        now = deadlines.now()
+        stream.check_liveness(now + peers.PING_AFTER_S * 1.1)
+        stream.check_liveness(stream.pinged_at + peers.CLOSE_AFTER_S * 1.1)
+        assert (await asking).status == 502
+        await conditions.until(lambda: first.proxy.memory.used == 0)
+        assert old.closed
+        account.give_back(taken)
+        assert account.used == 0
