--- a/src/peridotpost/proxy/bodies.py
+++ b/src/peridotpost/proxy/bodies.py
@@ -163,9 +163,10 @@
 
 
 class RoomWait:
-    """A body that waits for room until a deadline.
+    """A body that waits for room.
 
-    :param refused: called if it got none by then.
+    :param granted: called when it has room.
+    :ivar claim: None if it does not wait: it has room, gave up, or can't wait.
     """
 
     def __init__(
@@ -181,7 +182,10 @@
         self.claim = incoming.wait(self._granted)
 
     def expire_at(self, deadline: float, refused: Callable[[], None]) -> None:
-        """Give up at a deadline, in seconds since boot."""
+        """Give up at a deadline, in seconds since boot.
+
+        :param refused: called if there was no room by then.
+        """
 
         def expire() -> None:
             self.slot = 0
--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -76,12 +76,15 @@
 class ServerConnection(asyncio.Protocol):
     """Server side of a connection; requests are processed one at a time.
 
+    :param waiting: complete requests that are not processed yet.
+    :param current: the request that is being processed.
     :param busy: whether a request is being processed.
     :param delivering: whether a response is not written completely.
     :param discarding: whether what is received is dropped until the client
         has read a refusal and closes the connection.
     :param state_since: when it became idle, when the current message began
         to arrive, or when the client last read a part of a response.
+    :param unsent: bytes of a response that were unwritten when last looked.
     :param declined: request that offers an upgrade, until its body is read.
     :param unread_body: large body of a response being written.
     :param charged: bytes that are charged for a response being written.
