--- a/review/shared_2/case.py
+++ b/review/shared_2/case.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -34,6 +35,9 @@
 ) -> int:
     record = fleet.Record(folder / 'record.txt')
     record.note('case', trouble=TROUBLE)
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     played = fleet.Fleet(record)
     try:
         async with asyncio.timeout(TIMEOUT_S):
--- a/review/shared_2/fleet.py
+++ b/review/shared_2/fleet.py
@@ -11,6 +11,7 @@
 import time
 from typing import Any
 
+from shared_2 import relay as relays
 from shared_2 import store as stores
 from shared_2 import wire
 from shared_2 import worker as workers
@@ -49,6 +50,7 @@
         self.zone = zone
         self.service = service
         self.address = f'{fleet.network}.{number}'
+        self.backend_address = f'{fleet.network}.{100 + number}'
         *listen, target = free_ports(self.address, len(PORTS) + 1)
         self.ports = dict(zip(PORTS, listen, strict=True))
         self.settings_changes: dict[str, Any] = {}
@@ -182,6 +184,8 @@
         listen = {
             name: f'{self.address}:{port}' for name, port in self.ports.items()
         }
+        if self.fleet.network_relays is not None:
+            listen['peers'] = f'{self.backend_address}:{self.ports["peers"]}'
         settings = {
             'host': self.name,
             'availability_zone': self.zone,
@@ -227,6 +231,17 @@
         (self.store_port,) = free_ports(self.store_address, 1)
         self.hosts: dict[str, Host] = {}
         self.background: list[asyncio.Task[None]] = []
+        self.network_relays: relays.Network | None = None
+
+    async def relay_peers(self) -> relays.Network:
+        """Put a relay in front of each machine; before the start."""
+        self.network_relays = relays.Network(self.hosts)
+        for host in self.hosts.values():
+            port = host.ports['peers']
+            await self.network_relays.relay(
+                host.name, (host.address, port), (host.backend_address, port)
+            )
+        return self.network_relays
 
     def add(self, name: str, zone: str, service: str) -> Host:
         host = Host(self, name, zone, service, 1 + len(self.hosts))
@@ -265,6 +280,8 @@
         for task in self.background:
             task.cancel()
         self.store.stop_listening()
+        if self.network_relays is not None:
+            self.network_relays.close()
         if os.environ.get('KEEP_LOGS'):
             print(f'logs: {self.folder}')
         else:
