--- a/review/shared_2/worker.py
+++ b/review/shared_2/worker.py
@@ -41,6 +41,7 @@
         self.slots = slots
         self.max_connections = max_connections
         self.state = 'ready'
+        self.version = 'v1'
         self.sequence = 0
         self.born = time.time_ns() // 1_000_000
         self.runs: list[dict[str, Any]] = []
@@ -101,7 +102,7 @@
             'service': self.service,
             'address': f'{self.address}:{self.port}',
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'coldRemainingMs': 0,
