--- a/review/5/leaving.py
+++ b/review/5/leaving.py
@@ -151,4 +151,4 @@
 
 
 if __name__ == '__main__':
-    case.run(pathlib.Path(__file__).parent, play)
+    case.run(pathlib.Path(__file__).with_name('record.txt'), play)
--- a/review/calls_2.py
+++ b/review/calls_2.py
@@ -187,4 +187,4 @@
 
 
 if __name__ == '__main__':
-    case.run(pathlib.Path(__file__).parent, play)
+    case.run(pathlib.Path(__file__).with_name('calls_2-record.txt'), play)
--- a/review/shared_2/case.py
+++ b/review/shared_2/case.py
@@ -18,22 +18,22 @@
 
 
 def run(
-    folder: pathlib.Path,
+    record_path: pathlib.Path,
     play: Callable[[fleet.Fleet], Awaitable[list[str]]],
 ) -> None:
     """Play a case and exit.
 
-    :param folder: gets `record.txt`.
+    :param record_path: gets what was sent, answered and run.
     :param play: adds hosts, starts the fleet and returns what broke the rule.
     """
-    sys.exit(asyncio.run(_run(folder, play)))
+    sys.exit(asyncio.run(_run(record_path, play)))
 
 
 async def _run(
-    folder: pathlib.Path,
+    record_path: pathlib.Path,
     play: Callable[[fleet.Fleet], Awaitable[list[str]]],
 ) -> int:
-    record = fleet.Record(folder / 'record.txt')
+    record = fleet.Record(record_path)
     record.note('case', trouble=TROUBLE)
     task = asyncio.current_task()
     assert task is not None
