A departure is acknowledged once the platform's store has it

What callers saw: a target announced that it leaves and was acknowledged, all processes were killed, and a heartbeat from before arrived late.

Cause: a departure was kept by the process beside the target and by the peers that it had told.

Change: a departure (a leaving, a heartbeat that says draining, one stated in a response) takes effect at once and is written to the store; the announcement is answered 200 when the store has it, 503 after 0.8 s otherwise. A new process reads the entry of its host before its target gets work. While the store is away, a peer that followed the process before may vouch instead.

Why it works: the store loses nothing that it has acknowledged, and no announcement is believed before its entry was read. Writes are conditional, so a late one of an earlier process removes nothing.

The handling of announcements moves out of mesh/daemon.py.

--- a/src/peridotpost/mesh/countedfeed.py
+++ b/src/peridotpost/mesh/countedfeed.py
@@ -55,6 +55,16 @@
         self._count('end-lease')
         await self.feed.end_lease(lease)
 
+    async def read_departures(self, host: str) -> instances.StoredDepartures:
+        self._count('read-departures')
+        return await self.feed.read_departures(host)
+
+    async def write_departures(
+        self, host: str, entry: instances.StoredDepartures, lease: int
+    ) -> int | None:
+        self._count('write-departures')
+        return await self.feed.write_departures(host, entry, lease)
+
     async def claim(self, service: str, host: str, lease: int) -> int | None:
         self._count('claim')
         return await self.feed.claim(service, host, lease)
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -19,8 +19,10 @@
 from peridotpost.kernel import registry
 from peridotpost.kernel import tasks
 from peridotpost.mesh import adapter as adapters
+from peridotpost.mesh import announcements as announcement_calls
 from peridotpost.mesh import countedfeed
 from peridotpost.mesh import customerreport
+from peridotpost.mesh import departures
 from peridotpost.mesh import directory as directories
 from peridotpost.mesh import metrics
 from peridotpost.mesh import quotas
@@ -163,8 +165,9 @@
             self.counts,
             self.log,
         )
+        counted_feed = countedfeed.CountedFeed(self.adapter.feed, self.counts)
         self.feed = storefeed.StoreFeed(
-            countedfeed.CountedFeed(self.adapter.feed, self.counts),
+            counted_feed,
             self.own_record,
             self.directory,
             self.versions,
@@ -172,6 +175,23 @@
             self.counts,
             self.log,
         )
+        self.departures = departures.Departures(
+            counted_feed,
+            self.feed,
+            self.guard,
+            self.directory,
+            self.randomness,
+            self.counts,
+            self.log,
+        )
+        self.announcements = announcement_calls.Announcements(
+            settings,
+            self.adapter,
+            self.guard,
+            self.departures,
+            self.counts,
+            self.log,
+        )
         self.releases = release_parts.Releases(
             release_split,
             settings.releases.exposure,
@@ -197,6 +217,7 @@
             'forwarder',
             'versions',
             'feed',
+            'departures',
             'releases',
             'quotas',
         ):
@@ -213,7 +234,7 @@
                 self._listen_for_peers(listen.peers)
             )
             readiness = self._internal_port(self._handle_readiness)
-            announcements = self._internal_port(self._handle_announcement)
+            announcements = self._internal_port(self.announcements.handle)
             for port, address in (
                 (readiness, listen.readiness),
                 (announcements, listen.announcements),
@@ -226,6 +247,7 @@
             running = [
                 asyncio.ensure_future(self.feed.poll_records()),
                 asyncio.ensure_future(self.feed.keep_record()),
+                asyncio.ensure_future(self.departures.run()),
                 asyncio.ensure_future(self._sweep_peers()),
                 asyncio.ensure_future(self._sweep_ports()),
                 asyncio.ensure_future(self._announce_or_read_config()),
@@ -366,46 +388,6 @@
         ready = not leaving and self.forwarder.config is not None
         respond(listener.Reply(200 if ready else 503))
 
-    def _handle_announcement(
-        self, message: http1.Message, respond: listener.Respond
-    ) -> None:
-        """Apply a target's announcement, then answer the call."""
-        call = self.adapter.read_announcement(message)
-        if isinstance(call, instances.Announcement):
-            call = self._validate_announcement(call)
-        if isinstance(call, adapters.InvalidCall):
-            self.counts.add('announcements.unusable')
-            self.log.request('announcement', to='refused', reason=call.detail)
-            respond(listener.Reply(call.status))
-            return
-        if isinstance(call, adapters.Departure):
-            born_ms = call.born_ms or time.time_ns() // 1_000_000
-            self.guard.handle_departure(call.instance, born_ms)
-        else:
-            self.guard.accept_announcement(call)
-        head = b'Content-Type: application/json\r\n'
-        respond(listener.Reply(200, head, b'{}'))
-
-    def _validate_announcement(
-        self, announcement: instances.Announcement
-    ) -> instances.Announcement | adapters.InvalidCall:
-        """Reject announcements of targets other than this host's own."""
-        if announcement.service != self.settings.service:
-            return adapters.InvalidCall(
-                400,
-                f'service {announcement.service!r} is not served on this host',
-            )
-        if (
-            f'{announcement.address}:{announcement.port}'
-            != self.settings.target
-        ):
-            return adapters.InvalidCall(
-                400,
-                f'address {announcement.address} or its port is not '
-                'that of the target on this host',
-            )
-        return announcement
-
     def _handle_own_crash(self, fingerprints: tuple[str, ...]) -> None:
         incident = time.time_ns()
         suspects = list(fingerprints)
--- a/src/peridotpost/mesh/directory.py
+++ b/src/peridotpost/mesh/directory.py
@@ -43,6 +43,7 @@
 
     :param has_record: whether the store has its record.
     :param status_known: whether it has sent the status of its target.
+    :param status_incarnation: the process that did so last; 0 if none.
     """
 
     record: instances.HostRecord
@@ -53,6 +54,7 @@
     dial_pause_s: float = MIN_DIAL_PAUSE_S
     has_record: bool = False
     status_known: bool = False
+    status_incarnation: int = 0
     record_missing_since: float = 0.0
 
 
@@ -270,6 +272,9 @@
         )
         hello.has_slow_link = self.has_slow_link
         hello.takes_parts = True
+        peer = self.peers.get(host)
+        if peer is not None:
+            hello.known_incarnation = peer.status_incarnation
         return hello
 
     def is_remote_zone(self, availability_zone: str) -> bool:
@@ -451,6 +456,7 @@
         if peer is None or peer.stream is not stream:
             return
         peer.status_known = True
+        peer.status_incarnation = stream.incarnation
         peer.candidate.update_state(
             status.service,
             status.instance,
--- a/src/peridotpost/mesh/releases.py
+++ b/src/peridotpost/mesh/releases.py
@@ -179,7 +179,8 @@
             return
         state = self.split.state(target.service)
         self.guard.withhold(
-            self.split.refuses_new_work(target.service, target.version)
+            guards.Withholding.RELEASE,
+            self.split.refuses_new_work(target.service, target.version),
         )
         if state is None:
             return
@@ -220,7 +221,7 @@
     def _current_report(self) -> release.TargetReport:
         has_no_target = self.guard.instances.current is None
         self.own_report.drained = self.guard.has_no_work and (
-            has_no_target or self.guard.withheld
+            has_no_target or guards.Withholding.RELEASE in self.guard.withheld
         )
         return self.own_report
 
--- a/src/peridotpost/mesh/storefeed.py
+++ b/src/peridotpost/mesh/storefeed.py
@@ -99,6 +99,17 @@
     async def end_lease(self, lease: int) -> None:
         """End a lease; the store deletes its keys."""
 
+    async def read_departures(self, host: str) -> instances.StoredDepartures:
+        """Return the departures of a host's targets."""
+
+    async def write_departures(
+        self, host: str, entry: instances.StoredDepartures, lease: int
+    ) -> int | None:
+        """Replace a host's departures if `entry.revision` is the current one.
+
+        Returns the new revision, or None if another one is current.
+        """
+
     async def claim(self, service: str, host: str, lease: int) -> int | None:
         """Make this host the coordinator of a service's release.
 
@@ -180,12 +191,12 @@
                 revision = 0
             except errors.StoreError as error:
                 self._set_reachable(False, str(error))
-                self._probe_store()
+                self.probe_store()
                 # A store that compacts its history may leave watches
                 # unanswered.  A version written meanwhile is missing from a
                 # watch from the same revision, but a read returns it.
                 revision = 0
-                await self._wait_after_failure(pause_s)
+                await self.wait_after_failure(pause_s)
                 pause_s = min(MAX_RETRY_PAUSE_S, 1.5 * pause_s)
 
     async def _next_config(self, revision: int) -> ConfigRead | None:
@@ -277,7 +288,7 @@
             self.store_returned.clear()
         self.calls_failing = not answered
 
-    async def _wait_after_failure(self, pause_s: float) -> None:
+    async def wait_after_failure(self, pause_s: float) -> None:
         """Wait after a read that failed.
 
         During an outage only the lease renewals probe the store.
@@ -303,13 +314,13 @@
             async with asyncio.timeout(MAX_OUTAGE_WAIT_S):
                 await self.registered.wait()
         while not await self._read_records(stale=False):
-            await self._wait_after_failure(MAX_RETRY_PAUSE_S)
+            await self.wait_after_failure(MAX_RETRY_PAUSE_S)
         pause_s = MIN_POLL_INTERVAL_S
         while not tasks.cancelled():
             await asyncio.sleep(pause_s * self._jitter())
             pause_s = min(MAX_POLL_INTERVAL_S, 2 * pause_s)
             while not await self._read_records(stale=True):
-                await self._wait_after_failure(MAX_RETRY_PAUSE_S)
+                await self.wait_after_failure(MAX_RETRY_PAUSE_S)
                 pause_s = MIN_POLL_INTERVAL_S
 
     async def _read_records(self, stale: bool) -> bool:
@@ -319,7 +330,7 @@
         except errors.StoreError as error:
             self.counts.add('store.records-failed')
             self._set_reachable_by_poll(False, str(error))
-            self._probe_store()
+            self.probe_store()
             return False
         self._handle_records(records)
         self._set_reachable_by_poll(True, '')
@@ -398,7 +409,7 @@
         self.lease = 0
         self.record_written = False
 
-    def _probe_store(self) -> None:
+    def probe_store(self) -> None:
         """Renew the lease at once, to find out whether the store answers.
 
         As long as it does not, the renewals continue and all other calls
--- a/src/peridotpost/model/instances.py
+++ b/src/peridotpost/model/instances.py
@@ -84,6 +84,18 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredDepartures:
+    """Departures of one host's targets, as the platform's store has them.
+
+    :param by_instance: start time of the latest ended incarnation, in ms.
+    :param revision: store revision of the entry; 0 if there is none.
+    """
+
+    by_instance: dict[str, int]
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetStatus:
     """What a guard reports to other daemons about itself and its target.
--- a/src/peridotpost/platform/store.py
+++ b/src/peridotpost/platform/store.py
@@ -19,6 +19,7 @@
 OPERATOR_PREFIX = 'op/'
 CONFIG_KEY = 'op/config'
 HOST_RECORD_PREFIX = 'peridotpost/hosts/'
+DEPARTURES_PREFIX = 'peridotpost/departures/'
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call.  The store answers within 4 ms, or some hundreds of
 milliseconds when it is slow."""
@@ -59,6 +60,12 @@
     events: list[_Item] = []
 
 
+class _Departures(msgspec.Struct):
+    """Start time of the latest ended incarnation of each target, in ms."""
+
+    ended: dict[str, int]
+
+
 class _Written(msgspec.Struct):
     revision: int
 
@@ -156,13 +163,44 @@
         if response.status not in (200, 404):
             raise self._status_error('kv-lease-end', response)
 
+    async def read_departures(self, host: str) -> instances.StoredDepartures:
+        response = await self._get('kv-key', {'key': DEPARTURES_PREFIX + host})
+        if response.status == 404:
+            return instances.StoredDepartures({}, 0)
+        if response.status != 200:
+            raise self._status_error('kv-key', response)
+        item = _decode(response.body, _Item)
+        try:
+            entry = msgspec.json.decode(_decode_value(item), type=_Departures)
+        except msgspec.MsgspecError:
+            # Written by another program; it is replaced by the next write.
+            entry = _Departures({})
+        return instances.StoredDepartures(entry.ended, item.revision)
+
+    async def write_departures(
+        self, host: str, entry: instances.StoredDepartures, lease: int
+    ) -> int | None:
+        key = DEPARTURES_PREFIX + host
+        value = msgspec.json.encode(_Departures(entry.by_instance))
+        return await self._write_if(key, entry.revision, value, lease)
+
     async def claim(self, service: str, host: str, lease: int) -> int | None:
         key = releases.COORDINATOR_PREFIX + service
-        write = _write_entry(key, host.encode(), lease)
+        return await self._write_if(key, 0, host.encode(), lease)
+
+    async def _write_if(
+        self, key: str, revision: int, value: bytes, lease: int
+    ) -> int | None:
+        """Write a key under a lease if it still has a revision.
+
+        :return: its new revision; None if it has another one.
+        :raises errors.StoreError: LeaseExpired if the lease has ended.
+        """
+        write = _write_entry(key, value, lease)
         response = await self._post(
             'kv-txn',
             {
-                'precondition': [{'key': key, 'revision': 0}],
+                'precondition': [{'key': key, 'revision': revision}],
                 'writes': [write],
                 'remove': [],
             },
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -160,6 +160,8 @@
         it.
     :param takes_parts: whether the sender asks for the large bodies of
         responses in parts.
+    :param known_incarnation: the receiver's process that last sent the state
+        of its target to the sender; 0 if none did.
     """
 
     host: str
@@ -172,6 +174,7 @@
     has_slow_link: bool = False
     heard: Statement | None = None
     takes_parts: bool = False
+    known_incarnation: int = 0
 
 
 class Version(msgspec.Struct, array_like=True, tag=8):
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+import enum
 import random
 
 from peridotpost.decisions import attempts
@@ -41,6 +42,17 @@
 it at the deadline; the guard acts only if the ingress is gone."""
 
 
+class Withholding(enum.Enum):
+    """Reason for which a target that announced itself gets no new work.
+
+    ``RELEASE``: a release does not allow its version.
+    ``DEPARTURES``: whether it left before this daemon started is unknown.
+    """
+
+    RELEASE = enum.auto()
+    DEPARTURES = enum.auto()
+
+
 class Guard:
     """Manages the slots, queue and connections of one target.
 
@@ -80,7 +92,7 @@
         self.speed = targetspeed.TargetSpeed(False)
         self.failing_reported_at = 0.0
         self.leaving = False
-        self.withheld = False
+        self.withheld: set[Withholding] = set()
         self.run_ended: hooks.Hook[forwarding.RunEnd] = hooks.Hook('run-ended')
         self.status_changed: hooks.Hook[instances.TargetStatus] = hooks.Hook(
             'target'
@@ -150,9 +162,9 @@
         )
         self._status_changed()
 
-    def handle_departure(self, instance: str, born_ms: int) -> None:
+    def handle_departure(self, incarnation: instances.Incarnation) -> None:
         """Handle a target's notice that it is leaving."""
-        self._end_incarnation(instances.Incarnation(instance, born_ms))
+        self._end_incarnation(incarnation)
 
     def _end_incarnation(self, incarnation: instances.Incarnation) -> None:
         """Give no more work to an incarnation, whatever it announces."""
@@ -162,11 +174,15 @@
             self.log.state('target', instance=instance, to='gone')
             self._status_changed()
 
-    def withhold(self, withheld: bool) -> None:
+    def withhold(self, reason: Withholding, withheld: bool) -> None:
         """Suspend or resume new work for the target; runs continue."""
-        if withheld != self.withheld:
-            self.withheld = withheld
-            self._status_changed()
+        if withheld == (reason in self.withheld):
+            return
+        if withheld:
+            self.withheld.add(reason)
+        else:
+            self.withheld.discard(reason)
+        self._status_changed()
 
     @property
     def has_no_work(self) -> bool:
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -92,6 +92,8 @@
     :param pulls: bodies that the peer was asked for, by number.
     :param offered: bodies of responses that the peer may ask for, by number.
     :param takes_parts: whether the peer asks for the bodies of responses.
+    :param known_incarnation: the process of this host whose target the peer
+        followed last, as its `Hello` says; 0 if none.
     """
 
     def __init__(
@@ -121,6 +123,7 @@
         self.pulls: dict[int, bodypulls.BodyPull] = {}
         self.offered: dict[int, bodies.Body] = {}
         self.takes_parts = False
+        self.known_incarnation = 0
         self.host = host
         self.incarnation = 0
         self.received_at = deadlines.now()
@@ -293,6 +296,7 @@
         self.has_slow_link = hello.has_slow_link
         self.version = hello.version
         self.takes_parts = hello.takes_parts
+        self.known_incarnation = hello.known_incarnation
         if not self.dialled:
             self.zone = hello.availability_zone
             self._send_hello()
