Quotas count only hosts that answer a probe

Cause: an owner grants the part of a quota that corresponds to the hosts that report to it, and counted them by the streams that they had opened. Only the side that opens a stream pings it, so accepted streams outlive a silent cut by minutes, and zonecuts leaves a zone out for 3 s only.

Silent hosts do not count. A host admits no more than its part of a quota by itself. The stream to a silent host is checked too.

Why it works: a probe's answer shows both directions. The chance that no probe hits the part that is cut off falls with its size, as does the harm; the cost does not depend on the number of hosts.

--- a/src/peridotpost/decisions/quotas.py
+++ b/src/peridotpost/decisions/quotas.py
@@ -14,7 +14,9 @@
   misses its objective while a new request would meet it.
 - Two requests within a report interval are reported at once, so that an owner
   notices a rise of demand before the burst is used up.
-- No host admits more than the whole quota by itself, even without an owner.
+- No host admits more than the whole quota by itself, even without an owner,
+  or more than its part while hosts are cut off from it.  Where its part of a
+  burst is less than one request, chance decides whether it admits the first.
 - While the owner leaves reports unanswered, a host goes on at its pace of the
   last window but does not admit more, since nobody adds up the increases.
 - A report to an owner contains what was admitted in the last window and not
@@ -96,6 +98,7 @@
         'last_verdicts',
         'level',
         'level_at',
+        'limit',
         'owner',
         'pace',
         'pace_until',
@@ -110,12 +113,13 @@
         'used_at',
     )
 
-    def __init__(self, level: float, credit: float, now: float) -> None:
+    def __init__(self, credit: float, now: float) -> None:
         self.admitted = 0
         self.asked = 0
         self.credit = credit
-        self.level = level
+        self.level = math.inf
         self.level_at = now
+        self.limit = math.inf
         self.share = 1.0
         self.share_until = -math.inf
         self.retried = 0
@@ -135,7 +139,11 @@
 
 
 class HostQuotas:
-    """Admits the requests of customers with a quota at one host."""
+    """Admits the requests of customers with a quota at one host.
+
+    :param reached_part: part of the known hosts that are not cut off from
+        this one.
+    """
 
     def __init__(
         self, rule: quotas.QuotaRule, randomness: random.Random
@@ -146,6 +154,7 @@
         self.unanswered: dict[quotas.Owner, float] = {}
         self.answered: dict[quotas.Owner, float] = {}
         self.known_hosts = 1
+        self.reached_part = 1.0
         self.reported_at = -math.inf
 
     def admit(
@@ -161,18 +170,16 @@
         if customer.rate_per_s <= 0.0 or not ENABLED:
             return None
         use = self.uses.get(customer.name)
-        limit = customer.burst + self.rule.tolerance(customer) / 2
         if use is None:
-            use = self._new_use(customer.name, limit, now)
+            use = self._new_use(customer.name, now)
         use.used_at = now
-        gained = customer.rate_per_s * (now - use.level_at)
-        use.level = min(limit, use.level + gained)
-        use.level_at = now
+        self._fill(use, customer, now)
         if not self._has_share(use, now, is_retry):
             return self._spread(use.retry_after_s)
         if use.level < 1.0:
+            rate_per_s = self.reached_part * customer.rate_per_s
             return self._spread(
-                max(use.retry_after_s, (1.0 - use.level) / customer.rate_per_s)
+                max(use.retry_after_s, (1.0 - use.level) / rate_per_s)
             )
         if not self._keeps_pace(use, customer, now):
             return self._spread(max(use.retry_after_s, UNCONFIRMED_AFTER_S))
@@ -180,6 +187,23 @@
         use.admitted += 1
         return None
 
+    def _fill(self, use: _Use, customer: quotas.Limited, now: float) -> None:
+        """Fill the bucket of what this host may admit by itself."""
+        part = self.reached_part
+        limit = part * (customer.burst + self.rule.tolerance(customer) / 2)
+        if limit != use.limit:
+            if math.isinf(use.level):
+                # A new bucket is full.
+                use.level = limit
+            elif use.limit > 0.0:
+                use.level *= limit / use.limit
+            if limit < 1.0:
+                use.level += self.randomness.random()
+            use.limit = limit
+        gained = part * customer.rate_per_s * (now - use.level_at)
+        use.level = min(max(1.0, limit), use.level + gained)
+        use.level_at = now
+
     def _has_share(self, use: _Use, now: float, is_retry: bool) -> bool:
         """Count a request and return whether it is within its share."""
         share = use.current_share(now)
@@ -378,8 +402,7 @@
         if use is None:
             if verdict.share >= 1.0:
                 return True
-            # The level is bounded at the first request.
-            use = self._new_use(verdict.customer, math.inf, now)
+            use = self._new_use(verdict.customer, now)
         if verdict.number <= use.last_verdicts.get(sender, -1):
             return False
         _remember(use.last_verdicts, sender, verdict.number)
@@ -396,10 +419,10 @@
             return 1.0, 0.0
         return use.share, now - (use.share_until - self.rule.window_s)
 
-    def _new_use(self, name: str, level: float, now: float) -> _Use:
+    def _new_use(self, name: str, now: float) -> _Use:
         # The first credit is random: with the same one on every host, the
         # first requests of all hosts would be admitted or refused together.
-        use = _Use(level, self.randomness.random(), now)
+        use = _Use(self.randomness.random(), now)
         self.uses[name] = use
         return use
 
--- a/src/peridotpost/experiment/quotafleet.py
+++ b/src/peridotpost/experiment/quotafleet.py
@@ -17,6 +17,7 @@
 from peridotpost.decisions import quotaowner
 from peridotpost.decisions import quotas as hostquotas
 from peridotpost.decisions import rendezvous
+from peridotpost.decisions import roundtrips
 from peridotpost.decisions import zonecuts
 from peridotpost.mesh import quotaasks
 from peridotpost.model import quotas
@@ -39,6 +40,8 @@
 ASK_BYTES = 4 + 1 + 1 + 5 + 12 + 1
 DECISION_BYTES = 4 + 1 + 1 + 5 + 3
 CUT_BYTES = 4 + 1 + 1 + 2
+PING_BYTES = 4 + 1 + 1 + 3
+PONG_BYTES = 4 + 1 + 1 + 2 + 3 + 2
 """Encoded sizes of the frames for names of eleven letters."""
 CALLER_DEADLINE_S = 3.0
 """Callers honour Retry-After up to a third of the time that is left."""
@@ -51,7 +54,10 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Host:
-    """One daemon: its ingress and the accounts that it owns."""
+    """One daemon: its ingress and the accounts that it owns.
+
+    :param answered: when each host last answered a probe of this one.
+    """
 
     name: str
     zone: str
@@ -59,6 +65,8 @@
     gate: hostquotas.HostQuotas
     owner: quotaowner.QuotaOwner
     cuts: zonecuts.ZoneCuts
+    probes: roundtrips.RoundTrips[str]
+    answered: dict[str, float] = dataclasses.field(default_factory=dict)
     number: int = 0
     view_version: int = 0
     sent: int = 0
@@ -117,6 +125,8 @@
         rule: quotas.QuotaRule | None = None,
     ) -> None:
         self.randomness = random.Random(seed)
+        # Of its own, so that probes do not change the callers' requests.
+        self.probe_randomness = random.Random(seed)
         self.rule = rule or quotas.QuotaRule()
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -125,6 +135,7 @@
         self.hosts: dict[str, Host] = {}
         self.by_zone: dict[str, list[str]] = {zone: [] for zone in ZONES}
         self.cut: str = ''
+        self.isolated: frozenset[str] = frozenset()
         self.stalled = ''
         self.stalled_until = 0.0
         self.views: dict[View, rendezvous.Owners] = {}
@@ -162,18 +173,39 @@
                 functools.partial(self._set_view, name, zone, frozenset()),
             )
 
-    def heal(self) -> None:
-        self.cut = ''
+    def isolate(self, names: Iterable[str]) -> None:
+        """Lose all messages of some hosts, also between them."""
+        self.isolated = frozenset(names)
         for name in sorted(self.names):
-            delay = self.randomness.uniform(0.1, 1.0)
+            delay = hostquotas.UNCONFIRMED_AFTER_S
+            delay += self.randomness.uniform(*SILENCE_S)
+            unreached = self.isolated - {name}
+            if name in self.isolated:
+                unreached = self.names - {name}
             self.at(
                 self.now + delay,
-                functools.partial(self._set_view, name, '', frozenset()),
+                functools.partial(self._set_view, name, '', unreached),
             )
 
+    def heal(self) -> None:
+        self.cut = ''
+        self.isolated = frozenset()
+        for name in sorted(self.names):
+            delay = self.randomness.uniform(0.1, 1.0)
+            self.at(self.now + delay, functools.partial(self._reconnect, name))
+
+    def _reconnect(self, name: str) -> None:
+        """Open the streams of a host again, or deliver what they hold."""
+        for host in self.hosts.values():
+            if host.name != name:
+                host.answered[name] = self.now
+        self._set_view(name, '', frozenset())
+
     def kill(self, name: str) -> None:
         """End a process; the others notice that its streams are closed."""
         del self.hosts[name]
+        for host in self.hosts.values():
+            host.answered.pop(name, None)
         for other in self.hosts:
             self.at(
                 self.now + RESET_S,
@@ -327,7 +359,9 @@
         owner = quotaowner.QuotaOwner(self.rule, started_at)
         owner.set_quotas(self.quotas)
         cuts = zonecuts.ZoneCuts(zone)
-        return Host(name, zone, 1 + int(started_at + 60.0), gate, owner, cuts)
+        probes = roundtrips.RoundTrips[str](self.probe_randomness)
+        incarnation = 1 + int(started_at + 60.0)
+        return Host(name, zone, incarnation, gate, owner, cuts, probes)
 
     def _restart(self, name: str) -> None:
         host = self._start(name, self.zone_of[name], self.now)
@@ -351,6 +385,10 @@
         zones = [zone for zone in ZONES if not cut or (zone == cut) == in_cut]
         self.reached[name] = (frozenset(zones), frozenset(down))
         self._update_view(name, self.hosts[name])
+        for other in self.view_of[name].hosts:
+            # A host that accepts a stream gets an answer to its first frame.
+            if other != name and other in self.hosts:
+                self.hosts[other].answered.setdefault(name, self.now)
 
     def _update_view(self, name: str, host: Host) -> None:
         zones, down = self.reached[name]
@@ -368,17 +406,50 @@
             self.view_version += 1
         known = len(self.names)
         host.gate.known_hosts = known
+        host.gate.reached_part = 1.0 - len(host.probes.silent) / known
         if host.view_version != self.view_version:
             host.view_version = self.view_version
             separated = host.cuts.separated_hosts(self.now)
             reporting = sum(
-                name in seen.hosts
+                (name in seen.hosts or not self._passes(name, other))
                 and self.zone_of[other] in zones
                 and other not in separated
+                and other not in host.probes.silent
                 for other, seen in self.view_of.items()
             )
             host.owner.set_reachable(max(1, reporting), known, self.now)
 
+    def _passes(self, name: str, other: str) -> bool:
+        """Whether messages pass between two hosts."""
+        if name != other and (name in self.isolated or other in self.isolated):
+            return False
+        zones = self.zone_of[name], self.zone_of[other]
+        return zones[0] == zones[1] or self.cut not in zones
+
+    def _probe(self, host: Host) -> None:
+        before = host.probes.silent
+        due = host.probes.update(
+            host.answered, self.now, urgent=bool(host.owner.accounts)
+        )
+        if host.probes.silent != before:
+            host.view_version = -1
+        for other in due:
+            answer = functools.partial(self._answer_probe, host, other)
+            self._transmit(
+                host, other, PING_BYTES, answer, self.probe_randomness
+            )
+
+    def _answer_probe(self, host: Host, name: str) -> None:
+        other = self.hosts.get(name)
+        if other is not None:
+            note = functools.partial(self._probe_answered, host, name)
+            self._transmit(
+                other, host.name, PONG_BYTES, note, self.probe_randomness
+            )
+
+    def _probe_answered(self, host: Host, name: str) -> None:
+        host.answered[name] = self.now
+
     def _update_cuts(self, host: Host) -> None:
         """Find zones that are cut off, and tell other hosts of new ones."""
         cuts = host.cuts
@@ -418,6 +489,7 @@
             resume = functools.partial(self._tick, name, host)
             self.at(self.stalled_until, resume)
             return
+        self._probe(host)
         self._update_view(name, host)
         view = self.view_of[name]
         owner_of = functools.partial(self._owner_at, host)
@@ -467,19 +539,27 @@
         if host.name == to:
             deliver()
             return
+        self._transmit(host, to, size, deliver, self.randomness)
+
+    def _transmit(
+        self,
+        host: Host,
+        to: str,
+        size: int,
+        deliver: Callable[[], None],
+        randomness: random.Random,
+    ) -> None:
         host.sent += size
         self.messages += 1
-        zone = self.zone_of[to]
-        if host.zone == zone:
-            transit_s = LOCAL_TRANSIT_S
-        elif self.cut in (host.zone, zone):
+        if not self._passes(host.name, to):
             return
-        else:
-            transit_s = REMOTE_TRANSIT_S
+        transit_s = REMOTE_TRANSIT_S
+        if host.zone == self.zone_of[to]:
+            transit_s = LOCAL_TRANSIT_S
         target = self.hosts.get(to)
         if target is not None:
             target.received += size
-            spread = self.randomness.uniform(1.0, 1.5)
+            spread = randomness.uniform(1.0, 1.5)
             arrives = self.now + transit_s * spread
             if to == self.stalled:
                 arrives = max(arrives, self.stalled_until)
--- a/src/peridotpost/experiment/quotascenarios.py
+++ b/src/peridotpost/experiment/quotascenarios.py
@@ -19,6 +19,9 @@
 LOWERED_TO = 1 / 3
 EVENT_AT = 10.5
 CUT_S = 6.0
+EARLY_CUT_AT = 3.0
+LONG_CUT_S = 12.0
+ISOLATED_PART = 0.35
 RESTART_S = 2.0
 STALL_S = 2.0
 
@@ -101,14 +104,28 @@
     fleet.at(EVENT_AT, configure)
 
 
-def cut(at: float) -> Event:
+def cut(at: float, for_s: float = CUT_S) -> Event:
     """Return an event that cuts a zone off for some seconds."""
 
     def schedule(
         fleet: quotafleet.Fleet, limited: Sequence[quotas.Quota]
     ) -> None:
         fleet.at(at, lambda: fleet.cut_off('b'))
-        fleet.at(at + CUT_S, fleet.heal)
+        fleet.at(at + for_s, fleet.heal)
+
+    return schedule
+
+
+def isolate(at: float, for_s: float = LONG_CUT_S) -> Event:
+    """Return an event that cuts hosts off from all others."""
+
+    def schedule(
+        fleet: quotafleet.Fleet, limited: Sequence[quotas.Quota]
+    ) -> None:
+        names = sorted(fleet.names)
+        chosen = names[: round(ISOLATED_PART * len(names))]
+        fleet.at(at, lambda: fleet.isolate(chosen))
+        fleet.at(at + for_s, fleet.heal)
 
     return schedule
 
@@ -137,6 +154,15 @@
     'cut after it rose': Scenario(cut(RISE_AT + 1), all_reached=False),
     'cut while limited': Scenario(cut(EVENT_AT), all_reached=False),
     'healed while limited': Scenario(cut(3.0), all_reached=False),
+    'cut long before it rises': Scenario(
+        cut(EARLY_CUT_AT, LONG_CUT_S), all_reached=False
+    ),
+    'hosts isolated before it rises': Scenario(
+        isolate(EARLY_CUT_AT), all_reached=False
+    ),
+    'hosts isolated while it rises': Scenario(
+        isolate(RISE_AT), all_reached=False
+    ),
 }
 
 
--- a/src/peridotpost/mesh/quotas.py
+++ b/src/peridotpost/mesh/quotas.py
@@ -13,6 +13,7 @@
 from peridotpost.decisions import quotaowner
 from peridotpost.decisions import quotas as hostquotas
 from peridotpost.decisions import rendezvous
+from peridotpost.decisions import roundtrips
 from peridotpost.kernel import counters
 from peridotpost.kernel import jsonlog
 from peridotpost.kernel import tasks
@@ -58,6 +59,9 @@
         self.asks = quotaasks.QuotaAsks(self.ingress, counts, deadlines.now)
         self.owners = rendezvous.Owners()
         self.cuts = zonecuts.ZoneCuts(directory, self.ingress, counts, log)
+        self.probes: roundtrips.RoundTrips[peers.PeerStream] = (
+            roundtrips.RoundTrips(randomness)
+        )
         self.streams: dict[str, peers.PeerStream] = {}
         self.known_until: dict[str, float] = {}
         self.left: dict[str, int] = {}
@@ -142,6 +146,7 @@
                 self.tick(deadlines.now())
 
     def tick(self, now: float) -> None:
+        self._probe_peers(now)
         self._update_reachable(now)
         reports = self.ingress.reports(now, self._owner_of)
         for owner, uses in reports.items():
@@ -182,18 +187,45 @@
         self.owners.update([self.own.host, *self.streams])
         self.owners.retain(self.ingress.uses)
         self.ingress.known_hosts = known
+        silent = {stream.host for stream in self.probes.silent}
+        self.ingress.reached_part = 1.0 - len(silent) / known
         # Two owners must not both count a host that reports to one of them,
         # so only hosts that this one can answer on their stream count.
         reporting = self.cuts.reachable_streams(
             {
                 stream.host: stream
                 for stream in directory.accepted_streams
-                if stream.confirmed
+                if stream.confirmed and stream not in self.probes.silent
             },
             now,
         )
         self.accounts.set_reachable(1 + len(reporting), known, now)
 
+    def _probe_peers(self, now: float) -> None:
+        """Probe hosts that report to this one; see ``roundtrips``.
+
+        The streams that this daemon opened to hosts that do not answer are
+        checked too: if only open connections are silent, new ones work.
+        """
+        before = self.probes.silent
+        due = self.probes.update(
+            {
+                stream: stream.answered_at
+                for stream in self.directory.accepted_streams
+                if stream.confirmed
+            },
+            now,
+            urgent=bool(self.accounts.accounts),
+        )
+        for stream in due:
+            self.counts.add('quotas.probes')
+            stream.send(frames.Ping(self.directory.version))
+        for stream in self.probes.silent - before:
+            self.log.state('probe', peer=stream.host, to='silent')
+            self._check_stream(stream.host, now)
+        for stream in before - self.probes.silent:
+            self.log.state('probe', peer=stream.host, to='answered')
+
     def _owner_of(self, customer: str) -> quotas.Owner | None:
         host = self.owners.owner_of(customer)
         if host == self.own.host:
@@ -220,11 +252,15 @@
         An idle stream to a remote zone is pinged every 20 s only.
         """
         for host in self.ingress.silent_owners(now):
-            peer = self.directory.peers.get(host)
-            stream = peer.stream if peer is not None else None
-            if stream is not None and not stream.pinged_at:
-                stream.pinged_at = now
-                stream.send(frames.Ping(self.directory.version))
+            self._check_stream(host, now)
+
+    def _check_stream(self, host: str, now: float) -> None:
+        """Have the stream to a host closed unless it answers in time."""
+        peer = self.directory.peers.get(host)
+        stream = peer.stream if peer is not None else None
+        if stream is not None and not stream.pinged_at:
+            stream.pinged_at = now
+            stream.send(frames.Ping(self.directory.version))
 
     # Messages.
 
--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -87,6 +87,7 @@
     :param hosts_requested: whether the peer was asked which daemons it knows.
     :param confirmed: whether the peer, which opened the stream, has received
         the `Hello` of this side.
+    :param answered_at: when the peer last showed that frames pass both ways.
     :param sent_orders: orders that the peer has not settled, by number.
     :param received_orders: orders of the peer that are not settled yet.
     :param pulls: bodies that the peer was asked for, by number.
@@ -134,6 +135,7 @@
         self.on_statement: StatementCallback | None = None
         self.hosts_requested = False
         self.confirmed = False
+        self.answered_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -281,10 +283,12 @@
             self.owner.handle_frame(self, frames.Version(peer_version))
         elif kind is frames.Pong:
             pong = cast(frames.Pong, frame)
+            self.answered_at = self.received_at
             self._report_load(pong.load, pong.failing)
             self.owner.handle_frame(self, frames.Version(pong.version))
         elif kind is frames.HelloReceived:
             self.confirmed = True
+            self.answered_at = self.received_at
         elif kind is frames.Hello:
             self._hello_received(cast(frames.Hello, frame))
         else:
--- a/testing/test_quota_streams.py
+++ b/testing/test_quota_streams.py
@@ -152,6 +152,32 @@
         assert accounts.fraction == 0.5
 
 
+@pytest.mark.parametrize('both_streams', [False, True])
+async def test_owner_does_not_count_hosts_that_are_cut_off(
+    both_streams: bool,
+) -> None:
+    """Guards against two parts of the fleet that both admit the whole rate.
+
+    Nothing arrives on streams that stay open, and no report is due.
+    """
+    async with limited_pair('hel-b') as (_, owner, other):
+        accounts = owner.proxy.quotas.accounts
+        await conditions.until(lambda: accounts.fraction == 1.0)
+        stuck = [
+            stream
+            for stream in other.proxy.directory.streams()
+            if both_streams or stream.dialled
+        ]
+        for stream in stuck:
+            assert stream.transport is not None
+            stream.transport.pause_reading()
+        await conditions.until(lambda: accounts.fraction == 0.5)
+        for stream in stuck:
+            if stream.transport is not None and not stream.closed:
+                stream.transport.resume_reading()
+        await conditions.until(lambda: accounts.fraction == 1.0)
+
+
 async def test_mesh_without_customers_sends_nothing_about_quotas() -> None:
     """Guards against cost in deployments that have no customers."""
     unlimited = quotas.Quota('unlimited', 0.0, 0.0)
@@ -161,6 +187,7 @@
             assert host.proxy.quotas.admit(unlimited, 0.0) is None
             host.proxy.quotas.tick(deadlines.now())
             assert not host.proxy.counts.totals['quotas.messages']
+            assert not host.proxy.counts.totals['quotas.probes']
 
 
 def test_frames_of_quotas_are_small() -> None:
--- a/testing/test_quotas.py
+++ b/testing/test_quotas.py
@@ -136,6 +136,19 @@
         assert highest <= fleet.rule.allowed(one.quota), one.quota
 
 
+def test_hosts_isolated_while_demand_rises_at_300_hosts() -> None:
+    """Guards against hosts that each admit a request before they notice."""
+    scenario = quotascenarios.SCENARIOS['hosts isolated while it rises']
+    fleet = quotafleet.Fleet(SEEDS[0], host_count=300)
+    played = quotascenarios.demands(
+        bench_quotas.HOT_RATES, bench_quotas.CALM_RATES, scenario.zones
+    )
+    quotascenarios.play(scenario, fleet, played, len(bench_quotas.HOT_RATES))
+    for one in played:
+        highest = quotafleet.highest_count(one.run, 5.0, 0.0)
+        assert highest <= fleet.rule.allowed(one.quota), one.quota
+
+
 @pytest.mark.parametrize(('host_count', 'seed'), [(82, 4), (300, 3)])
 def test_retries_that_come_after_a_limit_keep_the_rule(
     host_count: int, seed: int
@@ -203,6 +216,43 @@
     assert sum(owner.accounts['c'].used) == 20
 
 
+@pytest.mark.parametrize(
+    ('rate_per_s', 'part'),
+    [
+        pytest.param(237.0, 0.2, id='large customer'),
+        pytest.param(5.0, 1 / 82, id='less than one request'),
+    ],
+)
+def test_hosts_that_are_cut_off_admit_their_part(
+    rate_per_s: float, part: float
+) -> None:
+    """Guards against hosts that each admit a first burst by themselves."""
+    quota = quotas.Quota('c', rate_per_s, rate_per_s)
+    randomness = random.Random(1)
+    admitted = 0
+    hosts = round(1 / part)
+    for _ in range(hosts):
+        gate = hostquotas.HostQuotas(RULE, randomness)
+        gate.reached_part = part
+        for number in range(2 * round(RULE.allowed(quota))):
+            now = 5.0 * number / (2 * RULE.allowed(quota))
+            admitted += gate.admit(quota, now) is None
+    assert 0.5 * RULE.allowed(quota) < admitted
+    assert admitted <= RULE.allowed(quota)
+
+
+def test_bucket_of_a_host_follows_its_part() -> None:
+    """Guards against a host that is refused all after it was cut off."""
+    gate = hostquotas.HostQuotas(RULE, random.Random(1))
+    assert gate.admit(QUOTA, 1.0) is None
+    gate.reached_part = 0.25
+    cut_off = sum(gate.admit(QUOTA, 1.0) is None for _ in range(100))
+    assert 0 < cut_off <= 0.25 * RULE.allowed(QUOTA)
+    gate.reached_part = 1.0
+    healed = sum(gate.admit(QUOTA, 3.0) is None for _ in range(100))
+    assert healed >= 2 * QUOTA.rate_per_s
+
+
 def test_limit_lasts_until_retries_are_within_the_rate() -> None:
     """Guards against a limit that ends while refused callers come back."""
     owner = quotaowner.QuotaOwner(RULE, -60.0)
