Messages without end are given up at a bound

Cause: the parser holds an incomplete target, reason or header and joins its parts anew with each read. Headers were counted when complete, the others not.

Change: bytes are counted before the parser gets them, in pieces of 16 KiB; what is no part of a body is bounded. Interim and late answers are counted. The target is asked again after a pause. A rejected caller is read with pauses, a body that waits for memory that it holds itself is given up, and what a peer's bytes inflate to is limited.

Why it works: every reader goes through MessageReader.feed, so nothing grows without bytes that were counted.

--- a/src/peridotpost/proxy/bodies.py
+++ b/src/peridotpost/proxy/bodies.py
@@ -137,6 +137,10 @@
         :return: None if there are too many claims, or never will be room.
         """
         needed = self.needed
+        held = self.mapped.capacity if self.mapped is not None else 0
+        if held + needed > self.account.limits[self.kind]:
+            # It would wait for memory that it holds itself.
+            return None
 
         def receive() -> None:
             self.receive_room(needed)
--- a/src/peridotpost/proxy/client.py
+++ b/src/peridotpost/proxy/client.py
@@ -48,7 +48,7 @@
 
     def data_received(self, data: bytes) -> None:
         try:
-            self.parser.feed_data(data)
+            self.reader.feed(self.parser, data)
         except (httptools.HttpParserError, http1.TooLarge):
             self.close()
 
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -18,6 +18,10 @@
 stream.  Large bodies are sent in parts."""
 
 
+MAX_INFLATED_BYTES = 2 * MAX_FRAME_BYTES
+"""Limit of what the bytes of one read may inflate to."""
+
+
 class Statement(msgspec.Struct, array_like=True):
     """What a target stated; see ``instances.TargetStatement``."""
 
@@ -457,9 +461,12 @@
         if self.inflater is None:
             self.inflater = zlib.decompressobj(-WINDOW_BITS)
         try:
-            return self.inflater.decompress(data)
+            inflated = self.inflater.decompress(data, MAX_INFLATED_BYTES)
         except zlib.error as error:
             raise BadFrame(str(error)) from error
+        if self.inflater.unconsumed_tail:
+            raise BadFrame(f'more than {MAX_INFLATED_BYTES} inflated bytes')
+        return inflated
 
     def _decode_first(self, buffer: bytearray) -> tuple[Frame | None, int]:
         """Return the first frame and its length; None if incomplete."""
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -436,7 +436,10 @@
         end_run = self.queue.finish if answered else self.queue.release
         verdict = end_run(order, now)
         if isinstance(outcome, forwarding.ResponseLost):
-            self.reachability.answer_lost(order)
+            if connection is not None and connection.too_long:
+                self.reachability.answer_too_long()
+            else:
+                self.reachability.answer_lost(order)
         if connection is None or not connection.aborted:
             self._record_outcome(outcome, now)
             if self.run_ended.subscribers:
--- a/src/peridotpost/proxy/http1.py
+++ b/src/peridotpost/proxy/http1.py
@@ -3,6 +3,9 @@
 Messages are buffered completely.  A truncated response is thus detected
 before any byte of it reaches the caller, and an idempotent request can be
 retried.
+
+The parser itself holds an incomplete target, reason or header and joins its
+parts anew with each read, so bytes are counted before it gets them.
 """
 
 from collections.abc import Container
@@ -33,6 +36,16 @@
 """Hop-by-hop headers (RFC 9110, section 7.6.1), and headers for body framing,
 which each sender generates itself."""
 
+FEED_BYTES = 16 * 1024
+"""Bytes that are parsed at once.  Those parsed together with the beginning or
+the end of a message are not counted."""
+HEAD_FRAMING = 2
+"""A head may have this many times the bytes of its headers' limit, for the
+first line, separators and white space."""
+BODY_FRAMING = 8
+"""Bytes of framing for each byte of a body; a chunk of one byte takes 5."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Limit of the headers of a message unless the configuration has one."""
 PROTOCOL = b'HTTP/1.'
 STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}')
 REASON_PHRASES = {
@@ -119,7 +132,9 @@
     """Parser callbacks that build one `Message` after another.
 
     Bodies over `max_body_bytes` and headers over `max_head_bytes` raise
-    `TooLarge` from within the parser.
+    `TooLarge` from within the parser, and so does everything else that is no
+    part of a body, such as trailers and extensions of chunks, once it is
+    clearly longer than a head may be.
 
     :param memory: account for large bodies; None if they are not charged.
     :param kind: what they are charged as; a response without a length ends
@@ -138,7 +153,8 @@
         self.memory = memory
         self.kind = kind
         self.max_body_bytes = 1 << 30
-        self.max_head_bytes = 1 << 20
+        self.max_head_bytes = MAX_HEAD_BYTES
+        self.parsed_bytes = 0
         self.message = NO_MESSAGE
         self.resumed: Message | None = None
         self.proxy_headers = {
@@ -156,7 +172,33 @@
         """Add the body that a new parser reads to a message."""
         self.resumed = message
 
+    def feed(
+        self,
+        parser: httptools.HttpRequestParser | httptools.HttpResponseParser,
+        data: bytes,
+    ) -> None:
+        """Parse received bytes.
+
+        :raises TooLarge: the message exceeds its limits.
+        :raises httptools.HttpParserError: the bytes are no such message.
+        :raises httptools.HttpParserUpgrade: the message offers an upgrade;
+            carries the number of bytes that were parsed.
+        """
+        for start in range(0, len(data), FEED_BYTES):
+            part = data[start : start + FEED_BYTES]
+            self.parsed_bytes += len(part)
+            try:
+                parser.feed_data(part)
+            except httptools.HttpParserUpgrade as upgrade:
+                offset = start + upgrade.args[0]
+                raise httptools.HttpParserUpgrade(offset) from None
+            allowed = HEAD_FRAMING * self.max_head_bytes
+            allowed += (1 + BODY_FRAMING) * self.message.body_size
+            if self.parsed_bytes > allowed:
+                raise TooLarge
+
     def on_message_begin(self) -> None:
+        self.parsed_bytes = 0
         self.message = self.resumed or Message()
 
     def on_url(self, url: bytes) -> None:
@@ -266,6 +308,7 @@
         message = self.message
         # A connection that idles keeps no message.
         self.message = NO_MESSAGE
+        self.parsed_bytes = 0
         if message.incoming is None:
             chunks = message.body_chunks
             message.body = chunks[0] if len(chunks) == 1 else b''.join(chunks)
--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -36,6 +36,9 @@
 """Longest time in which a body has to arrive."""
 DISCARD_S = 2.0
 """Time for a client to read a response sent before its request was read."""
+DISCARD_PAUSE_S = 0.01
+"""Pause between two reads of what such a client still sends: it may send as
+fast as the link allows, and everything else on this host would wait."""
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -136,6 +139,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.reading_stopped:
+            self._discard()
             return
         if not self.reading_message:
             if not self.occupied:
@@ -153,10 +157,21 @@
         ) as error:
             self._refuse(error)
 
+    def _discard(self) -> None:
+        """Drop received bytes, no faster than `DISCARD_PAUSE_S` allows."""
+        if self.discarding and self.transport is not None:
+            self.transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            loop.call_later(DISCARD_PAUSE_S, self._resume_discarding)
+
+    def _resume_discarding(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def _parse(self, data: bytes) -> None:
         while True:
             try:
-                self.parser.feed_data(data)
+                self.reader.feed(self.parser, data)
             except httptools.HttpParserUpgrade as upgrade:
                 data = data[upgrade.args[0] :]
             else:
@@ -359,9 +374,16 @@
         )
         status = 400
         if too_large:
-            status = 413 if self.reader.message.body_size else 431
+            status = self._too_large_status()
         self._end_with(Reply(status))
 
+    def _too_large_status(self) -> int:
+        message = self.reader.message
+        if message.body_size:
+            return 413
+        is_target = len(message.target) > self.reader.max_head_bytes
+        return 414 if is_target else 431
+
     def _end_with(self, reply: Reply) -> None:
         """Read no more requests; send a last response unless one is due.
 
--- a/src/peridotpost/proxy/reachability.py
+++ b/src/peridotpost/proxy/reachability.py
@@ -95,13 +95,18 @@
         self.lost_answers.clear()
         if suspects:
             self.crashed.fire(suspects)
+        self._mark_down(str(error) or 'timeout')
+
+    def answer_too_long(self) -> None:
+        """Ask a target again only after a pause: its answer had no end."""
+        self._mark_down('answer without end')
+
+    def _mark_down(self, error: str) -> None:
         if self.down:
             return
         self.down = True
         self.reconnect_pause_s = MIN_RECONNECT_PAUSE_S
-        self.log.state(
-            'target', to='unreachable', error=str(error) or 'timeout'
-        )
+        self.log.state('target', to='unreachable', error=error)
         self.owner.target_down()
         self._check_later()
 
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -34,6 +34,9 @@
 """Largest part of the stated idle timeout that is used."""
 NO_BODY = frozenset({204, 304})
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_OTHER_ANSWERS = 16
+"""Interim answers, and late ones to earlier requests, that may precede the
+answer to a request."""
 
 ReleaseCallback = Callable[['TargetConnection', bool], None]
 
@@ -49,6 +52,7 @@
         with whether it was lost during a request.
     :ivar advertisement: what the response to the latest request states about
         the target; None before that response and if it states nothing.
+    :ivar too_long: whether a response exceeded its limits.
     """
 
     def __init__(
@@ -76,7 +80,8 @@
         self.aborted = False
         self.idle_since = 0.0
         self.idle_s = DEFAULT_IDLE_S
-        self.stray_answers = 0
+        self.other_answers = 0
+        self.too_long = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -88,6 +93,7 @@
         self.order = order
         self.outcome = None
         self.advertisement = None
+        self.other_answers = 0
         self.transport.writelines(payload)
 
     def is_usable(self, now: float, non_idempotent: bool = False) -> bool:
@@ -113,9 +119,12 @@
             self.close()
             return
         try:
-            self.parser.feed_data(data)
+            self.reader.feed(self.parser, data)
         except (httptools.HttpParserError, http1.TooLarge) as error:
             self.reusable = False
+            self.too_long = isinstance(error, http1.TooLarge) or isinstance(
+                error.__context__, http1.TooLarge
+            )
             if self.outcome is None:
                 detail = f'answer is not HTTP: {type(error).__name__}'
                 self.outcome = forwarding.ResponseLost(detail)
@@ -165,6 +174,7 @@
     def message_read(self, message: http1.Message) -> None:
         self.partial_response = None
         if message.status < 200:
+            self._count_other_answer()
             return
         http1.complete_body(message)
         if message.incoming is not None:
@@ -177,8 +187,8 @@
         if message.attempt_id and message.attempt_id != order.attempt_id:
             # A second response to an earlier request; the response to the
             # current one is still outstanding.
-            self.stray_answers += 1
             self.reusable = False
+            self._count_other_answer()
             return
         self.outcome = classify_response(message)
         self.advertisement = advertisements.read(message, self.outcome)
@@ -189,6 +199,15 @@
                 IDLE_TIMEOUT_SHARE * timeout_s,
             )
 
+    def _count_other_answer(self) -> None:
+        """Count a response that does not answer the current request.
+
+        :raises http1.TooLarge: there are too many of them.
+        """
+        self.other_answers += 1
+        if self.other_answers > MAX_OTHER_ANSWERS:
+            raise http1.TooLarge
+
     def eof_received(self) -> bool:
         message = self.partial_response
         if message is not None and not message.framed and self.order:
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -288,6 +288,54 @@
     )
 
 
+def _endless(head: bytes, part: bytes) -> Action:
+    """Return an action that sends parts until the connection is closed."""
+
+    async def act(
+        worker: Worker,
+        request: Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(head)
+        with contextlib.suppress(OSError):
+            while not writer.transport.is_closing():
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0)
+        worker.dropped.append(request)
+        return False
+
+    return act
+
+
+ENDLESS_ANSWERS = {
+    'value of a header': _endless(b'HTTP/1.1 200 OK\r\nX: ', b'x' * 65_536),
+    'name of a header': _endless(b'HTTP/1.1 200 OK\r\nX', b'x' * 65_536),
+    'headers': _endless(b'HTTP/1.1 200 OK\r\n', b'X: x\r\n' * 10_000),
+    'reason': _endless(b'HTTP/1.1 200 ', b'x' * 65_536),
+    'blank lines': _endless(b'', b'\r\n' * 30_000),
+    'interim answers': _endless(b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 900),
+    'late answers': _endless(
+        b'',
+        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n'
+        b'Content-Length: 0\r\n\r\n' * 900,
+    ),
+    'extension of a chunk': _endless(
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;',
+        b'x' * 65_536,
+    ),
+    'trailer': _endless(
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ',
+        b'x' * 65_536,
+    ),
+    'chunk of a body': _endless(
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n',
+        b'x' * 65_536,
+    ),
+}
+
+
 async def _already_answered(
     worker: Worker,
     request: Request,
@@ -336,6 +384,12 @@
 }
 
 
+ACTIONS |= {
+    f'endless-{name.replace(" ", "-")}': action
+    for name, action in ENDLESS_ANSWERS.items()
+}
+
+
 async def _read_head(reader: asyncio.StreamReader) -> Request:
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     first, *lines = head.split('\r\n')
--- a/testing/test_http1_split.py
+++ b/testing/test_http1_split.py
@@ -48,7 +48,7 @@
     parser = make(reader)
     start = 0
     for size in [*sizes, len(raw)]:
-        parser.feed_data(raw[start : start + size])
+        reader.feed(parser, raw[start : start + size])
         start += size
         if start >= len(raw):
             break
--- a/testing/test_proxy_callers.py
+++ b/testing/test_proxy_callers.py
@@ -80,6 +80,16 @@
             431,
             id='headers over the limit',
         ),
+        pytest.param(
+            b'GET /read/' + b'x' * 40_000,
+            414,
+            id='target that does not end',
+        ),
+        pytest.param(
+            b'GET /read/ok HTTP/1.1\r\nX: ' + b'x' * 40_000,
+            431,
+            id='header that does not end',
+        ),
         pytest.param(
             b'POST /write/ok HTTP/1.1\r\n'
             + HOST
