A process that starts is told of earlier crashes

Cause: a crash is broadcast once, to the processes connected at that moment. Each process that started later let the request through.

Change: both sides of a new stream tell the crashes that they remember. A process ignores those that it has heard of, as it may have cleared a request that a target answered since.

--- a/src/peridotpost/decisions/poison.py
+++ b/src/peridotpost/decisions/poison.py
@@ -26,6 +26,8 @@
 MAX_REFUSAL_S = 600.0
 MAX_SUSPECTS = 1000
 """Limits the memory to some 300 KB during a flood of crash reports."""
+MAX_TOLD_CRASHES = 64
+"""Latest crashes that a daemon that starts is told of."""
 BODY_PREFIX_BYTES = 64 * 1024
 """Hashing 64 MB would block the event loop for tens of milliseconds."""
 VOLATILE_HEADERS = frozenset(
@@ -73,20 +75,62 @@
 class Suspect:
     """The crashes attributed to one request.
 
-    :param crash_ids: target and incident of each crash.
+    :param crash_ids: time of each crash by target and incident.
     """
 
-    crash_ids: set[str] = dataclasses.field(default_factory=set)
+    crash_ids: dict[str, float] = dataclasses.field(default_factory=dict)
     crashes: int = 0
     last_crash_at: float = 0.0
     refused_until: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash that one daemon tells another one.
+
+    :param names: identifiers of the requests that are still suspected.
+    """
+
+    target: str
+    incident: str
+    at: float
+    names: tuple[str, ...]
+
+
 class PoisonList:
-    """The requests that are known to one daemon for crashing targets."""
+    """The requests that are known to one daemon for crashing targets.
+
+    :param incidents: crashes that this daemon was told of.
+    """
 
     def __init__(self) -> None:
         self.suspects: dict[str, Suspect] = {}
+        self.incidents: dict[str, None] = {}
+
+    def known_crashes(self, now: float) -> list[Crash]:
+        """Return the latest crashes, for a daemon that starts."""
+        names_by_id: dict[tuple[float, str], list[str]] = {}
+        for name, suspect in self.suspects.items():
+            for crash_id, at in suspect.crash_ids.items():
+                if now - at <= CRASH_MEMORY_S:
+                    names_by_id.setdefault((at, crash_id), []).append(name)
+        crashes = []
+        for at, crash_id in sorted(names_by_id)[-MAX_TOLD_CRASHES:]:
+            target, _, incident = crash_id.rpartition('#')
+            names = tuple(names_by_id[at, crash_id])
+            crashes.append(Crash(target, incident, at, names))
+        return crashes
+
+    def record_told(self, crash: Crash) -> None:
+        """Record a crash from before that another daemon remembers.
+
+        It is ignored if this daemon knows of the crash: it may have cleared
+        some of the requests since.
+        """
+        if f'{crash.target}#{crash.incident}' not in self.incidents:
+            self.record_crash(
+                crash.names, crash.target, crash.incident, crash.at
+            )
 
     def record_crash(
         self, names: Iterable[str], target: str, incident: str, now: float
@@ -97,6 +141,9 @@
         :param incident: identifies the crash, which may be reported several
             times.
         """
+        self.incidents[f'{target}#{incident}'] = None
+        while len(self.incidents) > MAX_SUSPECTS:
+            del self.incidents[next(iter(self.incidents))]
         for name in names:
             suspect = self.suspects.get(name)
             if suspect is None or now - suspect.last_crash_at > CRASH_MEMORY_S:
@@ -105,7 +152,7 @@
             crash_id = f'{target}#{incident}'
             if crash_id in suspect.crash_ids:
                 continue
-            suspect.crash_ids.add(crash_id)
+            suspect.crash_ids[crash_id] = now
             suspect.crashes += 1
             suspect.last_crash_at = now
             excess = suspect.crashes - MAX_CRASHES
--- a/src/peridotpost/mesh/daemon.py
+++ b/src/peridotpost/mesh/daemon.py
@@ -12,6 +12,7 @@
 from peridotpost.decisions import following
 from peridotpost.decisions import memoryaccount
 from peridotpost.decisions import peerqueries
+from peridotpost.decisions import poison
 from peridotpost.decisions import releasesplit
 from peridotpost.decisions import selection
 from peridotpost.kernel import counters
@@ -211,6 +212,7 @@
         self.forwarder.log.confirmed_age_s = read_policy.confirmed_age_s
         self.guard.reachability.crashed.subscribe(self._handle_own_crash)
         self.directory.frame_received.subscribe(self._handle_frame)
+        self.directory.stream_greeted.subscribe(self._tell_crashes)
         for name in (
             'guard',
             'directory',
@@ -399,9 +401,30 @@
 
     def _handle_frame(self, received: directories.ReceivedFrame) -> None:
         frame = received.frame
-        if isinstance(frame, frames.Crash):
-            self.forwarder.history.crashed(
-                frame.fingerprints, received.stream.host, str(frame.incident)
+        if not isinstance(frame, frames.Crash):
+            return
+        if frame.target:
+            at = deadlines.now() - frame.age_ms / MS_IN_S
+            names = tuple(frame.fingerprints)
+            self.forwarder.history.crash_remembered(
+                poison.Crash(frame.target, str(frame.incident), at, names)
+            )
+            return
+        self.forwarder.history.crashed(
+            frame.fingerprints, received.stream.host, str(frame.incident)
+        )
+
+    def _tell_crashes(self, stream: peers.PeerStream) -> None:
+        """Tell a daemon that may have started since of earlier crashes."""
+        now = deadlines.now()
+        for crash in self.forwarder.history.known_crashes():
+            stream.send(
+                frames.Crash(
+                    int(crash.incident),
+                    list(crash.names),
+                    crash.target,
+                    round((now - crash.at) * MS_IN_S),
+                )
             )
 
     @contextlib.asynccontextmanager
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -221,10 +221,16 @@
 
 
 class Crash(msgspec.Struct, array_like=True, tag=11):
-    """Requests that were running when a target crashed."""
+    """Requests that were running when a target crashed.
+
+    :param target: host of the target, if the sender only remembers the crash.
+    :param age_ms: time since the crash.
+    """
 
     incident: int
     fingerprints: list[str]
+    target: str = ''
+    age_ms: int = 0
 
 
 class Ping(msgspec.Struct, array_like=True, tag=12):
--- a/src/peridotpost/proxy/requesthistory.py
+++ b/src/peridotpost/proxy/requesthistory.py
@@ -59,6 +59,16 @@
             fingerprints, target, incident, deadlines.now()
         )
 
+    def known_crashes(self) -> list[poison.Crash]:
+        """Return the crashes to tell a daemon that may have started."""
+        if not self.poison.suspects:
+            return []
+        return self.poison.known_crashes(deadlines.now())
+
+    def crash_remembered(self, crash: poison.Crash) -> None:
+        """Record a crash that another daemon remembers."""
+        self.poison.record_told(crash)
+
     def clear_answered(self, message: http1.Message) -> None:
         """Clear the crash suspicion of a request that was answered."""
         if self.poison.suspects:
--- a/testing/test_poison.py
+++ b/testing/test_poison.py
@@ -90,6 +90,24 @@
     assert one.refusal_remaining_s(CALL, 1.0) == 0
 
 
+def test_crash_that_was_cleared_is_not_believed_again() -> None:
+    """Guards against blaming a request again that a target answered.
+
+    Daemons that did not see the answer still remember the crash.
+    """
+    here, there, new = (poison.PoisonList() for _ in range(3))
+    for incident in ('1', '2'):
+        for one in (here, there):
+            one.record_crash(NAMES, 'a', incident, 1.0)
+    here.clear(NAMES)
+    for crash in there.known_crashes(5.0):
+        for one in (here, new, new):
+            one.record_told(crash)
+    assert here.refusal_remaining_by_names_s(NAMES, 5.0) == 0.0
+    remaining_s = there.refusal_remaining_by_names_s(NAMES, 5.0)
+    assert new.refusal_remaining_by_names_s(NAMES, 5.0) == remaining_s > 0
+
+
 def test_crash_records_are_bounded_and_expire() -> None:
     one = poison.PoisonList()
     for number in range(2 * poison.MAX_SUSPECTS):
--- a/testing/test_proxy_targets.py
+++ b/testing/test_proxy_targets.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from peridotpost.decisions import poison
 from peridotpost.proxy import guard
+from peridotpost.proxy import http1
 from peridotpost.proxy import peers
 from testing import conditions
 from testing import proxies
@@ -309,6 +311,28 @@
         assert answer.status == 200
 
 
+async def test_restarted_proxy_learns_of_requests_that_crash_targets() -> None:
+    """Guards against a new process that lets a crashing request through.
+
+    It was not told of the crashes before its start.
+    """
+    async with proxies.pair() as (mesh, first, second):
+        request = http1.Message(method=b'GET', target=b'/read/crash')
+        history = second.proxy.forwarder.history
+        names = [poison.fingerprint(b'GET', b'/read/crash', b'')]
+        for incident in ('1', '2'):
+            history.crashed(names, 'c', incident)
+        assert not first.proxy.forwarder.history.is_poison(request)
+        restarted = await mesh.restart_proxy('a')
+        assert await restarted.announce() == 200
+        second.proxy.directory.add_record(restarted.proxy.own_record)
+        await conditions.until(
+            lambda: restarted.proxy.forwarder.history.is_poison(request)
+        )
+        assert (await restarted.ask('/read/crash')).status == 503
+        assert not first.worker.runs
+
+
 async def test_failure_is_delivered_when_its_retry_is_refused() -> None:
     """The target's failed response is delivered instead of a refusal."""
     async with proxies.pair() as (_mesh, first, second):
