A new write of departures takes a lease of its own

After a write whose answer was lost, the next write reused its lease, so that a later departure could lapse from the store before its 10 minutes had passed. Found when reading the diff; the tests of departures pass (they do not time leases).

--- a/src/peridotpost/mesh/departures.py
+++ b/src/peridotpost/mesh/departures.py
@@ -138,13 +138,13 @@
             instances.StoredDepartures(written, self.departures.revision),
             self.lease,
         )
+        # The lifetime of the next entry begins with its own lease.
+        self.lease = 0
         if revision is None:
             # A write of which the answer was lost, one of an earlier process,
             # or the end of its lease.
             self.departures.revision = None
             return
-        # The lifetime of the next entry begins with its own lease.
-        self.lease = 0
         self.departures.note_written(written, revision)
         self.log.state('departures', to='stored', instances=[*written])
         self._apply()
