Logs tell why a refused request is known not to have run

Callers: nothing changes. Now a guard writes 'rejected' with the proof (the request's id, the first response of a connection, or position alone) and the number of the response on its connection; 'refused' lines list the proof of each guard, which frames carry between hosts, and responses with another id or none are counted, as are own 408.

--- a/src/peridotpost/border/loglines.py
+++ b/src/peridotpost/border/loglines.py
@@ -36,6 +36,9 @@
     :param in_flight: requests that a leaving process still serves.
     :param changed: whether reloaded settings differ from those in force.
     :param tried: hosts whose guards were asked, in this order.
+    :param proofs: for each guard that refused it, why it had not run there.
+    :param proof: the same for one rejection of a target.
+    :param response: which response of its connection that rejection was.
     :param arrivals: how many of them passed the request to their target.
     :param left_ms: time left until the request's deadline.
     :param version: version of the configuration in force.
@@ -65,6 +68,9 @@
     route: str = ''
     service: str = ''
     target: str = ''
+    proofs: list[str] = []
+    proof: str = ''
+    response: int = 0
     detail: str = ''
     reason: str = ''
     status: int = 0
--- a/src/peridotpost/decisions/attempts.py
+++ b/src/peridotpost/decisions/attempts.py
@@ -55,6 +55,7 @@
     :param failure_answer: a target's answer that reports a failure.
     :param retry_cause: how the next target counts the request: as a first
         arrival or as a kind of retry.
+    :param proofs: why each refused dispatch is known not to have run.
     """
 
     idempotent: bool
@@ -67,6 +68,7 @@
     lost_detail: str = ''
     failure_answer: forwarding.TargetAnswer | None = None
     retry_cause: forwarding.RetryCause = forwarding.RetryCause.NONE
+    proofs: list[forwarding.Proof] = dataclasses.field(default_factory=list)
 
     @property
     def is_last_attempt(self) -> bool:
@@ -100,6 +102,7 @@
         self, outcome: forwarding.Refused, now: float
     ) -> Action:
         self.refusals += 1
+        self.proofs.append(outcome.proof)
         self.arrivals += outcome.arrived
         if outcome.reason is forwarding.Refusal.TOO_LATE:
             return Action.GIVE_UP
--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -25,6 +25,22 @@
     NO_ROOM = 'no-room'
 
 
+class Proof(enum.StrEnum):
+    """Why a refused request is known not to have run.
+
+    ``UNSENT``: a guard or an ingress did not send it to a target.
+    ``IDENTIFIED``: the target's rejection bears the id of the request.
+    ``FIRST_RESPONSE``: it bears no id, and nothing was received on its
+        connection before.
+    ``POSITION``: it bears no id, and is a later response of its connection.
+    """
+
+    UNSENT = 'unsent'
+    IDENTIFIED = 'identified'
+    FIRST_RESPONSE = 'first-response'
+    POSITION = 'position'
+
+
 class RetryCause(enum.IntEnum):
     """Why a request is sent to a target after another one had got it.
 
@@ -62,6 +78,7 @@
     reason: Refusal
     retry_after_s: float = 0.0
     arrived: bool = False
+    proof: Proof = Proof.UNSENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/peridotpost/proxy/frameconversion.py
+++ b/src/peridotpost/proxy/frameconversion.py
@@ -160,6 +160,7 @@
             run_ms,
             failing,
             statement_frame(stated),
+            outcome.proof.value,
         )
     return frames.LostFrame(number, outcome.detail, outcome.crashed)
 
@@ -175,10 +176,16 @@
 
 def refusal_from_frame(frame: frames.RefusedFrame) -> forwarding.Refused:
     """Return the refusal in a frame."""
+    proof = forwarding.Proof.UNSENT
+    if frame.proof:
+        proof = forwarding.Proof(frame.proof)
+    elif frame.arrived:
+        proof = forwarding.Proof.POSITION
     return forwarding.Refused(
         forwarding.Refusal(frame.reason),
         frame.retry_after_ms / MS_IN_S,
         frame.arrived,
+        proof,
     )
 
 
--- a/src/peridotpost/proxy/frames.py
+++ b/src/peridotpost/proxy/frames.py
@@ -116,7 +116,11 @@
 
 
 class RefusedFrame(msgspec.Struct, array_like=True, tag=4):
-    """The dispatch was refused: it has not run and will not run."""
+    """The dispatch was refused: it has not run and will not run.
+
+    :param proof: why that is known, a value of ``forwarding.Proof``; empty
+        if the sender is too old to say so.
+    """
 
     number: int
     reason: str
@@ -126,6 +130,7 @@
     run_ms: int
     failing: int = 0
     stated: Statement | None = None
+    proof: str = ''
 
 
 class LostFrame(msgspec.Struct, array_like=True, tag=5):
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -431,6 +431,10 @@
             self.idle.add(connection)
         if connection is not None:
             self._note_advertisement(connection, order, now)
+            if isinstance(outcome, forwarding.Refused):
+                guardlog.log_rejected(
+                    self.log, order, outcome, connection.response_count
+                )
         answered = isinstance(outcome, forwarding.TargetAnswer)
         self.speed.ended(order, answered, now)
         end_run = self.queue.finish if answered else self.queue.release
--- a/src/peridotpost/proxy/guardlog.py
+++ b/src/peridotpost/proxy/guardlog.py
@@ -50,6 +50,28 @@
         self.admitted = self.refused = 0
 
 
+def log_rejected(
+    log: jsonlog.JsonLog,
+    order: forwarding.Order,
+    outcome: forwarding.Refused,
+    response_number: int,
+) -> None:
+    """Log an order that the target itself rejected.
+
+    :param response_number: which response of its connection said so.
+    """
+    if not log.try_reserve(logbudget.LinePriority.STEP):
+        return
+    fields = {
+        'request': order.attempt_id.decode('latin-1'),
+        'route': order.route,
+        'reason': outcome.reason.value,
+        'proof': outcome.proof.value,
+        'response': response_number,
+    }
+    log.write('rejected', fields)
+
+
 def log_declined(
     log: jsonlog.JsonLog,
     queue: slots.SlotQueue,
--- a/src/peridotpost/proxy/listener.py
+++ b/src/peridotpost/proxy/listener.py
@@ -462,6 +462,7 @@
             return
         elif self.reading_message:
             if elapsed_s > self._read_limit_s():
+                self.port.counts.add('requests.own-408')
                 self._end_with(Reply(408))
         elif elapsed_s > limits.idle_timeout_s + IDLE_SLACK_S:
             transport.close()
--- a/src/peridotpost/proxy/requestlog.py
+++ b/src/peridotpost/proxy/requestlog.py
@@ -136,6 +136,7 @@
             'target': target,
             'detail': detail,
             'tried': exchange.tried,
+            'proofs': [proof.value for proof in exchange.attempts.proofs],
             'arrivals': exchange.attempts.arrivals,
             'elapsed_ms': round((now - exchange.started) * 1000),
             'left_ms': round((exchange.deadline - now) * 1000),
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -53,6 +53,7 @@
     :ivar advertisement: what the response to the latest request states about
         the target; None before that response and if it states nothing.
     :ivar too_long: whether a response exceeded its limits.
+    :ivar response_count: final responses received, of whatever request.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self.idle_s = DEFAULT_IDLE_S
         self.other_answers = 0
         self.too_long = False
+        self.response_count = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -180,6 +182,7 @@
         if message.incoming is not None:
             self._claim_room(message)
             return
+        self.response_count += 1
         order = self.order
         if order is None or self.outcome is not None:
             self.reusable = False
@@ -188,9 +191,10 @@
             # A second response to an earlier request; the response to the
             # current one is still outstanding.
             self.reusable = False
+            self.room.counts.add('answers.other-id')
             self._count_other_answer()
             return
-        self.outcome = classify_response(message)
+        self.outcome = classify_response(message, self._proof(message))
         self.advertisement = advertisements.read(message, self.outcome)
         if message.keep_alive_s is not None:
             timeout_s = message.keep_alive_s
@@ -199,6 +203,15 @@
                 IDLE_TIMEOUT_SHARE * timeout_s,
             )
 
+    def _proof(self, message: http1.Message) -> forwarding.Proof:
+        """Return what shows that a response is to the current request."""
+        if message.attempt_id:
+            return forwarding.Proof.IDENTIFIED
+        self.room.counts.add('answers.without-id')
+        if self.response_count == 1:
+            return forwarding.Proof.FIRST_RESPONSE
+        return forwarding.Proof.POSITION
+
     def _count_other_answer(self) -> None:
         """Count a response that does not answer the current request.
 
@@ -314,8 +327,13 @@
         self.connections.clear()
 
 
-def classify_response(message: http1.Message) -> forwarding.Outcome:
-    """Return the outcome that a complete response means."""
+def classify_response(
+    message: http1.Message, proof: forwarding.Proof
+) -> forwarding.Outcome:
+    """Return the outcome that a complete response means.
+
+    :param proof: what shows that it is the response to the request.
+    """
     status = message.status
     if message.spliced:
         return forwarding.ResponseLost('answer within another answer')
@@ -323,7 +341,7 @@
         reason = forwarding.Refusal.SHED
         if status == 421:
             reason = forwarding.Refusal.WRONG_SERVICE
-        return forwarding.Refused(reason, arrived=True)
+        return forwarding.Refused(reason, arrived=True, proof=proof)
     if status < 300 and not message.signed:
         return forwarding.ResponseLost('answer without the mark of the target')
     if message.content_encoded:
--- a/src/peridotpost/reports/explanation.py
+++ b/src/peridotpost/reports/explanation.py
@@ -167,6 +167,8 @@
 ) -> str:
     declined = [step for step in steps if step.event == 'declined']
     counts = f'{len(outcome.tried)} guards asked, {outcome.arrivals} arrivals'
+    if outcome.event == 'refused' and outcome.proofs:
+        counts += f'; not run by these proofs: {", ".join(outcome.proofs)}'
     if declined:
         longest = max(declined, key=lambda line: line.wait_ms)
         counts += (
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -28,6 +28,11 @@
         return self.headers.get('x-attempt-id', '')
 
 
+REJECTION = (
+    b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
 class Worker:
     """A target that records the requests it ran, rejected and dropped.
 
@@ -59,6 +64,7 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.reset_on_next_request: set[asyncio.StreamWriter] = set()
+        self.rejecting_writers: set[asyncio.StreamWriter] = set()
 
     def attempts(self) -> list[str]:
         return [one.attempt for one in self.runs]
@@ -105,7 +111,8 @@
             self.rejected.append(request)
             writer.write(
                 b'HTTP/1.1 421 Misdirected Request\r\n'
-                b'Content-Length: 0\r\n\r\n'
+                + _id_line(request)
+                + b'Content-Length: 0\r\n\r\n'
             )
             return True
         action = (
@@ -114,11 +121,7 @@
         )
         if self.sheds or action == 'shed':
             self.rejected.append(request)
-            writer.write(
-                b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n'
-                + self.statements().encode()
-                + b'Content-Length: 0\r\n\r\n'
-            )
+            writer.write(self.render_rejection(request))
             return True
         self.runs.append(request)
         self.running += 1
@@ -157,6 +160,14 @@
             lines += f'Server-Leaving: {self.leaving}\r\n'
         return lines
 
+    def render_rejection(self, request: Request) -> bytes:
+        return (
+            b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n'
+            + _id_line(request)
+            + self.statements().encode()
+            + b'Content-Length: 0\r\n\r\n'
+        )
+
     def render_response(
         self, request: Request, body: bytes = b'done'
     ) -> bytes:
@@ -167,6 +178,10 @@
         ).encode() + body
 
 
+def _id_line(request: Request) -> bytes:
+    return f'X-Attempt-Id: {request.attempt}\r\n'.encode()
+
+
 Action = Callable[
     [Worker, Request, asyncio.StreamReader, asyncio.StreamWriter],
     Awaitable[bool],
@@ -288,6 +303,43 @@
     )
 
 
+def _failure_with_status(worker: Worker, request: Request) -> bytes:
+    """Fail after the run with the status in the query, and say no more."""
+    status = parse.parse_qs(request.target.partition('?')[2])['status'][0]
+    return worker.render_response(request).replace(
+        b'200 OK', f'{status} Failed'.encode()
+    )
+
+
+def _rejection_without_id_first(worker: Worker, request: Request) -> bytes:
+    """Precede the response by a rejection that names no request."""
+    return REJECTION + worker.render_response(request)
+
+
+async def _reject_then_copy(
+    worker: Worker,
+    request: Request,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> bool:
+    """Reject the first dispatch of an attempt, and run the second one.
+
+    A copy of the rejection comes late on the connection of the first.
+    """
+    rejection = worker.render_rejection(request)
+    if not any(one.attempt == request.attempt for one in worker.rejected):
+        worker.runs.remove(request)
+        worker.rejected.append(request)
+        worker.rejecting_writers.add(writer)
+        writer.write(rejection)
+        return True
+    if writer in worker.rejecting_writers:
+        writer.write(rejection)
+        await writer.drain()
+    writer.write(worker.render_response(request))
+    return True
+
+
 def _endless(head: bytes, part: bytes) -> Action:
     """Return an action that sends parts until the connection is closed."""
 
@@ -381,6 +433,9 @@
     'second-breaks-off': _respond_with(_extra_response_breaks_off, True),
     'broken-first': _respond_with(_broken_response_first, True),
     'foreign-first': _respond_with(_other_response_first, True),
+    'own-status': _respond_with(_failure_with_status, True),
+    'unnamed-first': _respond_with(_rejection_without_id_first, True),
+    'rejects-then-copies': _reject_then_copy,
 }
 
 
