A target's own 408, 429 or 503 is not passed on as a promise

Cause: completion.answer passed on whatever status a target sent. A status proves nothing; only a statement of the target does.

Now no answer of a target with one of the four statuses reaches a caller: it gets 502 'target-failed', without the target's signature, as a signature must not go with another status. An idempotent request is tried again as after a 500, and the answer counts as a failure of the target, of a release's version and of a hedge. Our own 503 is sent only where attempts.may_have_run is false; this was decided by whether a text for the log was empty.

Logs: 'unknown', '503 of the target is no proof'.

--- a/src/peridotpost/decisions/attempts.py
+++ b/src/peridotpost/decisions/attempts.py
@@ -15,7 +15,8 @@
   enforces the retry budget (``budget``).  After two refusals for lack of
   budget no third target is tried.
 - An answer that reports a failure is kept and returned if the retry yields no
-  other answer.
+  other answer.  So is one whose status alone says that the request has not
+  run; a caller never gets it, since only a statement of the target is proof.
 - A refusal by the target itself is not a run and uses none of the route's
   attempts.  The request did arrive there, so the next try is a retry.
 - A refusal after a lost answer doesn't prove that the request never ran.
@@ -35,6 +36,14 @@
 MIN_RETRY_S = 0.03
 """With less time left, no other target could answer before the deadline."""
 FAILED_STATUS = 500
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""A caller reads these as a promise that its request has not run and will not
+run, so none is passed on from a target."""
+
+
+def is_failure(status: int) -> bool:
+    """Whether the status of a target's answer reports a failure."""
+    return status >= FAILED_STATUS or status in NOT_RUN_STATUSES
 
 
 class Action(enum.Enum):
@@ -70,6 +79,11 @@
     retry_cause: forwarding.RetryCause = forwarding.RetryCause.NONE
     proofs: list[forwarding.Proof] = dataclasses.field(default_factory=list)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target ran the request or may have run it."""
+        return self.runs > 0
+
     @property
     def is_last_attempt(self) -> bool:
         """Whether a refusal by the next target ends the request."""
@@ -84,7 +98,7 @@
         if isinstance(outcome, forwarding.ResponseLost):
             self.lost_detail = outcome.detail
             return self._retry_or(Action.GIVE_UP, now)
-        if outcome.status < FAILED_STATUS:
+        if not is_failure(outcome.status):
             return Action.ANSWER
         self.failure_answer = outcome
         self.retry_cause = forwarding.RetryCause.AFTER_FAILURE
--- a/src/peridotpost/mesh/releases.py
+++ b/src/peridotpost/mesh/releases.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 
+from peridotpost.decisions import attempts
 from peridotpost.decisions import releasesplit
 from peridotpost.decisions import verdict
 from peridotpost.kernel import counters
@@ -27,8 +28,6 @@
 
 REPORT_INTERVAL_S = 0.25
 """Interval of a daemon's reports to the coordinator."""
-MIN_FAILED_STATUS = 500
-"""Lowest HTTP status that counts as a failed run."""
 
 
 class Releases:
@@ -239,8 +238,8 @@
             # A failed downstream call is not the target's own failure.
             return
         runs.runs += 1
-        status = getattr(end.outcome, 'status', MIN_FAILED_STATUS)
-        runs.failed += status >= MIN_FAILED_STATUS
+        status = getattr(end.outcome, 'status', attempts.FAILED_STATUS)
+        runs.failed += attempts.is_failure(status)
         if end.at >= self.cold_until:
             bucket = verdict.bucket_of(end.at - end.order.started)
             runs.by_run_time[bucket] = runs.by_run_time.get(bucket, 0) + 1
--- a/src/peridotpost/proxy/completion.py
+++ b/src/peridotpost/proxy/completion.py
@@ -58,7 +58,7 @@
         """Answer a request for which no other target will be asked."""
         if exchange.attempts.failure_answer is not None:
             self.answer(exchange, exchange.attempts.failure_answer)
-        elif exchange.attempts.lost_detail:
+        elif exchange.attempts.may_have_run:
             self.mark_finished(exchange)
             self.log.ended(
                 exchange, 'unknown', '', exchange.attempts.lost_detail
@@ -87,7 +87,7 @@
         _mark_failed_call(exchange.parent)
         detail = exchange.attempts.lost_detail or 'no answer in time'
         self.log.ended(exchange, 'timeout', exchange.host, detail)
-        if exchange.order is not None or exchange.attempts.lost_detail:
+        if exchange.order is not None or exchange.attempts.may_have_run:
             self._send_problem(exchange, problems.Problem(504, 'timeout'))
         else:
             self._send_not_run(exchange, 'too-late')
@@ -148,10 +148,18 @@
     def _send_answer(
         self, exchange: exchanges.Exchange, outcome: forwarding.TargetAnswer
     ) -> None:
-        if outcome.status >= attempts.FAILED_STATUS:
+        if attempts.is_failure(outcome.status):
             _mark_failed_call(exchange.parent)
-        if outcome.status < attempts.FAILED_STATUS:
+        else:
             self.history.clear_answered(exchange.message)
+        if outcome.status in attempts.NOT_RUN_STATUSES:
+            detail = f'{outcome.status} of the target is no proof'
+            self.log.ended(exchange, 'unknown', exchange.host, detail)
+            self.counts.add('answers.not-passed-on')
+            self._send_problem(
+                exchange, problems.Problem(502, 'target-failed')
+            )
+            return
         self.log.answered(exchange, outcome.status)
         self._report_status(exchange, outcome.status)
         exchange.respond(
--- a/src/peridotpost/proxy/forwarder.py
+++ b/src/peridotpost/proxy/forwarder.py
@@ -430,7 +430,7 @@
             candidate.note_outcome(True, now)
             self.log.lost(exchange, candidate.host, outcome.detail)
         else:
-            failed = outcome.status >= attempts.FAILED_STATUS
+            failed = attempts.is_failure(outcome.status)
             candidate.note_outcome(failed, now)
 
     def _deadline_passed(self, exchange: exchanges.Exchange) -> None:
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -477,9 +477,9 @@
         if isinstance(outcome, forwarding.Refused):
             # The target did not run it, so its failure rate is unaffected.
             return
-        failed = not isinstance(outcome, forwarding.TargetAnswer) or (
-            outcome.status >= attempts.FAILED_STATUS
-        )
+        failed = not isinstance(
+            outcome, forwarding.TargetAnswer
+        ) or attempts.is_failure(outcome.status)
         self.failures.note(failed, now)
         if not failed or self.failures.value(now) < FAILING_SHARE:
             return
--- a/src/peridotpost/proxy/hedges.py
+++ b/src/peridotpost/proxy/hedges.py
@@ -288,7 +288,6 @@
 
 
 def _is_success(outcome: forwarding.Outcome) -> bool:
-    return (
-        isinstance(outcome, forwarding.TargetAnswer)
-        and outcome.status < attempts.FAILED_STATUS
-    )
+    return isinstance(
+        outcome, forwarding.TargetAnswer
+    ) and not attempts.is_failure(outcome.status)
