A response counts for a request by its id, not by its position

Callers got one 200 for a non-idempotent request that two targets had run (TWICE), or 503 for one that had run (REFUSED), where a target sent a rejection without an id some milliseconds after a whole response.

Cause: TargetConnection.message_read compared ids only where the response had one. One without an id counted for the request under way.

Now a response counts if it bears the request's id, or if it has none and is the first one of its connection; any other is left aside, the response is waited for, and the connection is not used again. So that a target that omits ids (perhaps only where it rejects, as one example of the platform does) is still believed, its requests get connections of their own, and so do requests without an id. The first rejection without an id on a connection that is used again is waited for in vain, once an incarnation or a minute. A rejection that a daemon of an earlier version reports comes without a proof and counts as a lost answer.

--- a/src/peridotpost/model/forwarding.py
+++ b/src/peridotpost/model/forwarding.py
@@ -32,13 +32,11 @@
     ``IDENTIFIED``: the target's rejection bears the id of the request.
     ``FIRST_RESPONSE``: it bears no id, and nothing was received on its
         connection before.
-    ``POSITION``: it bears no id, and is a later response of its connection.
     """
 
     UNSENT = 'unsent'
     IDENTIFIED = 'identified'
     FIRST_RESPONSE = 'first-response'
-    POSITION = 'position'
 
 
 class RetryCause(enum.IntEnum):
--- a/src/peridotpost/proxy/frameconversion.py
+++ b/src/peridotpost/proxy/frameconversion.py
@@ -8,6 +8,7 @@
 from peridotpost.proxy import frames
 
 MS_IN_S = 1000
+PROOFS = {proof.value: proof for proof in forwarding.Proof}
 SHARE_UNITS = 10_000
 """Units of a whole in the share of a ``ReleaseUpdate``."""
 
@@ -174,13 +175,19 @@
     )
 
 
-def refusal_from_frame(frame: frames.RefusedFrame) -> forwarding.Refused:
-    """Return the refusal in a frame."""
-    proof = forwarding.Proof.UNSENT
-    if frame.proof:
-        proof = forwarding.Proof(frame.proof)
-    elif frame.arrived:
-        proof = forwarding.Proof.POSITION
+def refusal_from_frame(
+    frame: frames.RefusedFrame,
+) -> forwarding.Refused | forwarding.ResponseLost:
+    """Return the refusal in a frame.
+
+    A target's rejection whose proof is not stated, as by older daemons, does
+    not show that the request has not run.
+    """
+    proof = PROOFS.get(frame.proof)
+    if proof is None:
+        if frame.arrived:
+            return forwarding.ResponseLost('rejection without a proof')
+        proof = forwarding.Proof.UNSENT
     return forwarding.Refused(
         forwarding.Refusal(frame.reason),
         frame.retry_after_ms / MS_IN_S,
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -13,6 +13,7 @@
 
 from peridotpost.decisions import attempts
 from peridotpost.decisions import budget
+from peridotpost.decisions import connectionreuse
 from peridotpost.decisions import failures
 from peridotpost.decisions import incarnations
 from peridotpost.decisions import slots as slot_rules
@@ -79,6 +80,7 @@
         self.instances = incarnations.InstanceTracker()
         self.queue = slot_rules.SlotQueue(0, randomness)
         self.idle = upstream.IdlePool()
+        self.reuse = connectionreuse.ConnectionReuse()
         self.running: dict[forwarding.Order, upstream.TargetConnection] = {}
         self.running_by_attempt: dict[bytes, forwarding.Order] = {}
         self.connecting: dict[forwarding.Order, asyncio.Task[None]] = {}
@@ -137,6 +139,7 @@
             return
         if before is None or before.incarnation != announcement.incarnation:
             self.idle.close()
+            self.reuse = connectionreuse.ConnectionReuse()
             self.failures = failures.FailureRate()
             self.speed = targetspeed.TargetSpeed(self.speed.refuses)
             self.reachability.instance_replaced()
@@ -329,7 +332,9 @@
             self.awaiting_body.add(order)
             return
         now = deadlines.now()
-        connection = self.idle.take(now, not order.idempotent)
+        connection = None
+        if self.reuse.allows(order, now):
+            connection = self.idle.take(now, not order.idempotent)
         if connection is not None:
             self._send(order, connection)
             return
@@ -493,6 +498,9 @@
         if connection.closed:
             self.idle.discard(connection)
 
+    def _response_unidentified(self, is_first: bool) -> None:
+        self.reuse.note_response_without_id(is_first, deadlines.now())
+
     def _connect_failed(self, order: forwarding.Order, error: OSError) -> None:
         if self.connecting.pop(order, None) is None:
             return
@@ -514,7 +522,11 @@
         current = self.instances.current
         assert current is not None
         return await upstream.connect(
-            current, self.header_names, self._connection_released, self.room
+            current,
+            self.header_names,
+            self._connection_released,
+            self._response_unidentified,
+            self.room,
         )
 
     def adopt_connection(self, connection: upstream.TargetConnection) -> None:
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -39,6 +39,7 @@
 answer to a request."""
 
 ReleaseCallback = Callable[['TargetConnection', bool], None]
+UnidentifiedCallback = Callable[[bool], None]
 
 
 class TargetConnection(asyncio.Protocol):
@@ -50,6 +51,8 @@
     :param incarnation: the target's incarnation when it was opened.
     :param on_release: called when a request ends or the connection is lost,
         with whether it was lost during a request.
+    :param on_unidentified: called for each response without an id, with
+        whether it is the first one of the connection.
     :ivar advertisement: what the response to the latest request states about
         the target; None before that response and if it states nothing.
     :ivar too_long: whether a response exceeded its limits.
@@ -61,6 +64,7 @@
         header_names: headernames.HeaderNames,
         incarnation: instances.Incarnation,
         on_release: ReleaseCallback,
+        on_unidentified: UnidentifiedCallback,
         room: bodies.Room,
     ) -> None:
         self.header_names = header_names
@@ -69,6 +73,7 @@
         self.incarnation = incarnation
         self.advertisement: advertisement.Advertisement | None = None
         self.on_release = on_release
+        self.on_unidentified = on_unidentified
         self.order: forwarding.Order | None = None
         self.outcome: forwarding.Outcome | None = None
         self.transport: asyncio.Transport | None = None
@@ -187,14 +192,14 @@
         if order is None or self.outcome is not None:
             self.reusable = False
             return
-        if message.attempt_id and message.attempt_id != order.attempt_id:
+        proof = self._proof(message, order)
+        if proof is None:
             # A second response to an earlier request; the response to the
             # current one is still outstanding.
             self.reusable = False
-            self.room.counts.add('answers.other-id')
             self._count_other_answer()
             return
-        self.outcome = classify_response(message, self._proof(message))
+        self.outcome = classify_response(message, proof)
         self.advertisement = advertisements.read(message, self.outcome)
         if message.keep_alive_s is not None:
             timeout_s = message.keep_alive_s
@@ -203,14 +208,24 @@
                 IDLE_TIMEOUT_SHARE * timeout_s,
             )
 
-    def _proof(self, message: http1.Message) -> forwarding.Proof:
-        """Return what shows that a response is to the current request."""
+    def _proof(
+        self, message: http1.Message, order: forwarding.Order
+    ) -> forwarding.Proof | None:
+        """Return what shows that a response is to the current request.
+
+        :return: None if it may be to an earlier one.
+        """
         if message.attempt_id:
-            return forwarding.Proof.IDENTIFIED
+            if message.attempt_id == order.attempt_id:
+                return forwarding.Proof.IDENTIFIED
+            self.room.counts.add('answers.other-id')
+            return None
         self.room.counts.add('answers.without-id')
-        if self.response_count == 1:
+        is_first = self.response_count == 1
+        self.on_unidentified(is_first)
+        if is_first:
             return forwarding.Proof.FIRST_RESPONSE
-        return forwarding.Proof.POSITION
+        return None
 
     def _count_other_answer(self) -> None:
         """Count a response that does not answer the current request.
@@ -357,6 +372,7 @@
     announced: instances.Announcement,
     header_names: headernames.HeaderNames,
     on_release: ReleaseCallback,
+    on_unidentified: UnidentifiedCallback,
     room: bodies.Room,
 ) -> TargetConnection:
     """Open a connection to an announced target.
@@ -367,7 +383,11 @@
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         transport, protocol = await loop.create_connection(
             lambda: TargetConnection(
-                header_names, announced.incarnation, on_release, room
+                header_names,
+                announced.incarnation,
+                on_release,
+                on_unidentified,
+                room,
             ),
             announced.address,
             announced.port,
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -40,6 +40,7 @@
     ``forced_action`` selects an action for every request, whatever its path.
     ``limit`` and ``leaving`` are stated in all responses unless empty.
     ``extra_headers`` are header lines added to all responses.
+    ``omits_ids`` leaves the id of the request out of all responses.
     ``dropped`` holds the requests whose sender closed the connection early.
     """
 
@@ -48,6 +49,7 @@
         self.slots = slots
         self.sheds = False
         self.forced_action = ''
+        self.omits_ids = False
         self.limit = ''
         self.leaving = ''
         self.extra_headers = ''
@@ -111,7 +113,7 @@
             self.rejected.append(request)
             writer.write(
                 b'HTTP/1.1 421 Misdirected Request\r\n'
-                + _id_line(request)
+                + self._id_line(request)
                 + b'Content-Length: 0\r\n\r\n'
             )
             return True
@@ -160,10 +162,15 @@
             lines += f'Server-Leaving: {self.leaving}\r\n'
         return lines
 
+    def _id_line(self, request: Request) -> bytes:
+        if self.omits_ids:
+            return b''
+        return f'X-Attempt-Id: {request.attempt}\r\n'.encode()
+
     def render_rejection(self, request: Request) -> bytes:
         return (
             b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n'
-            + _id_line(request)
+            + self._id_line(request)
             + self.statements().encode()
             + b'Content-Length: 0\r\n\r\n'
         )
@@ -171,15 +178,11 @@
     def render_response(
         self, request: Request, body: bytes = b'done'
     ) -> bytes:
-        return (
-            f'HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.attempt}\r\n'
+        head = (
             f'X-Response-Signature: {self.instance}\r\n{self.statements()}'
             f'Content-Length: {len(body)}\r\n\r\n'
-        ).encode() + body
-
-
-def _id_line(request: Request) -> bytes:
-    return f'X-Attempt-Id: {request.attempt}\r\n'.encode()
+        ).encode()
+        return b'HTTP/1.1 200 OK\r\n' + self._id_line(request) + head + body
 
 
 Action = Callable[
--- a/testing/test_promises.py
+++ b/testing/test_promises.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from peridotpost.model import forwarding
+from peridotpost.proxy import frameconversion
+from peridotpost.proxy import frames
 from testing import proxies
 
 WRITE: dict[str, Any] = {'method': 'POST', 'attempt': 'w1', 'body': b'x'}
@@ -49,14 +52,17 @@
             assert answer.status == 200
 
 
-async def test_rejection_without_id_is_not_that_of_the_request_under_way() -> (
-    None
-):
+async def test_rejection_without_id_is_not_that_of_the_request_under_way(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a run request that counts as rejected.
 
     A rejection that names no request comes late, on a connection that has the
     next request by then.
     """
+    monkeypatch.setattr(
+        'peridotpost.proxy.upstream.NON_IDEMPOTENT_IDLE_S', 60.0
+    )
     async with proxies.pair() as (_, first, second):
         for host in (first, second):
             await first.ask_until_run_by(host)
@@ -66,6 +72,61 @@
         assert ran.count('w1') == 1
 
 
+async def test_target_that_omits_ids_is_believed_on_new_connections() -> None:
+    """Guards against rejections that are waited for until the deadline."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.wait_ready()
+        host.worker.omits_ids = True
+        for number in range(3):
+            host.worker.sheds = number == 1
+            answer = await host.ask(
+                '/write/ok', method='POST', attempt=f'w{number}', body=b'x'
+            )
+            assert answer.status == (503 if number == 1 else 200)
+        assert host.worker.attempts() == ['w0', 'w2']
+
+
+async def test_target_that_begins_to_omit_ids_is_waited_for_only_once() -> (
+    None
+):
+    """Guards against one request after the other that waits in vain."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.wait_ready()
+        assert (await host.ask('/read/ok')).status == 200
+        host.worker.omits_ids = host.worker.sheds = True
+        late = await host.ask(
+            '/read/ok', attempt='r2', X_Deadline_Remaining_Ms='100'
+        )
+        assert late.status == 504
+        assert (await host.ask('/read/ok', attempt='r3')).status == 503
+
+
+async def test_request_without_id_gets_a_connection_of_its_own() -> None:
+    """Guards against the response to an earlier request without an id."""
+    async with proxies.running() as mesh:
+        await mesh.kv.configure(proxies.config())
+        host = await mesh.add('a')
+        await host.announce()
+        await mesh.wait_ready()
+        before = host.worker.connections
+        for _ in range(2):
+            assert (await host.ask('/read/ok', attempt='')).status == 200
+        assert host.worker.connections == before + 2
+
+
+def test_rejection_told_by_an_older_daemon_proves_nothing() -> None:
+    """Guards against a proof that the sender of a frame did not have."""
+    frame = frames.RefusedFrame(1, 'shed', 0, True, 100, 12)
+    outcome = frameconversion.refusal_from_frame(frame)
+    assert isinstance(outcome, forwarding.ResponseLost)
+
+
 async def test_late_copy_of_a_rejection_is_not_that_of_the_next_dispatch() -> (
     None
 ):
