A rejected request goes to its target again on a new connection only

Callers got 503 for a non-idempotent request that had run (REFUSED), where a target rejected it, got it again as the last resort and ran it, while a copy of its first rejection came late.

Cause: the last resort may be a target that has rejected the request, and the connection used last is taken first. The late copy bears the id of the request under way, so its id proves nothing there. As nobody else is asked after a last resort, such cases end as REFUSED far more often than as TWICE, which are the users' proportions; that theirs were of this kind is not shown, as they kept no logs.

A guard now remembers the ids that its target rejected until their deadlines and gives them a new connection, whose first response can't be such a copy.

--- a/src/peridotpost/decisions/connectionreuse.py
+++ b/src/peridotpost/decisions/connectionreuse.py
@@ -7,6 +7,8 @@
 something without one.
 
 - A request without an id gets a new connection.
+- So does one that the target rejected before and gets again: a late copy of
+  the rejection bears the right id.
 - A target that sent the first response of a connection without an id omits
   ids, perhaps in rejections only.  Its requests get new connections, so that
   what it says can be believed.
@@ -31,6 +33,7 @@
     def __init__(self) -> None:
         self.omits_ids = False
         self.doubted_until = -math.inf
+        self.rejected_until: dict[bytes, float] = {}
 
     def note_response_without_id(self, is_first: bool, now: float) -> None:
         """Record a response without an id.
@@ -42,8 +45,18 @@
         else:
             self.doubted_until = now + DOUBT_S
 
+    def note_rejected(self, order: forwarding.Order, now: float) -> None:
+        """Record that the target rejected an order, until its deadline."""
+        self.rejected_until[order.attempt_id] = order.deadline
+        for attempt_id, until in list(self.rejected_until.items()):
+            if until > now:
+                break
+            del self.rejected_until[attempt_id]
+
     def allows(self, order: forwarding.Order, now: float) -> bool:
         """Whether an order may be sent on a connection that had others."""
         if self.omits_ids or now < self.doubted_until:
             return False
+        if order.attempt_id in self.rejected_until:
+            return False
         return bool(order.attempt_id)
--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -437,6 +437,7 @@
         if connection is not None:
             self._note_advertisement(connection, order, now)
             if isinstance(outcome, forwarding.Refused):
+                self.reuse.note_rejected(order, now)
                 guardlog.log_rejected(
                     self.log, order, outcome, connection.response_count
                 )
