Only a valid statement of a target shows that a request has not run

Callers got 503 for a request that had run, or it ran on two targets, if a target's response bore the statement in a success, with the value 0, twice with two values, or in a trailer; a rejection that named the request after another one counted too.

Cause: the reader kept a flag for the presence of the header, the last of several ids, and took trailers for headers.

Now values are combined; the statement counts with a status from 400 on and the value 1. A response with another one is lost (502). Trailers count for nothing and are not passed on, from callers neither. A response spliced from two is lost before its id is looked at.

--- a/src/peridotpost/proxy/http1.py
+++ b/src/peridotpost/proxy/http1.py
@@ -59,7 +59,8 @@
 
     :param head: header lines without those of the connection.
     :param head_bytes: size of all headers received.
-    :param not_run: whether the target states that it did not run the request.
+    :param not_run: value of the header by which a target states that it did
+        not run the request.
     :param signed: whether the response bears the target's signature header.
     :param rate_limit: value of the rate limit header of a response.
     :param leaving: value of the header by which a target says that it is
@@ -70,6 +71,8 @@
         it has arrived and has room.
     :param charged: bytes that are charged for the message itself.
     :param host_header_count: number of ``Host`` headers.
+    :param head_complete: whether the headers have ended; what follows are
+        trailers, which count for nothing and are not passed on.
     :param spliced: whether another response begins within its head.
     :param nominated_headers: header names listed in ``Connection``.
     :param credentials: value of the last header with credentials.
@@ -88,7 +91,7 @@
     host: bytes = b''
     attempt_id: bytes = b''
     deadline_ms: bytes = b''
-    not_run: bool = False
+    not_run: bytes = b''
     signed: bool = False
     content_encoded: bool = False
     rate_limit: bytes = b''
@@ -100,6 +103,7 @@
     content_length: int | None = None
     incoming: bodies.IncomingBody | None = None
     charged: int = 0
+    head_complete: bool = False
     spliced: bool = False
     host_header_count: int = 0
     nominated_headers: list[bytes] = dataclasses.field(default_factory=list)
@@ -219,6 +223,8 @@
             raise TooLarge
         if PROTOCOL in value and STATUS_LINE.search(value):
             message.spliced = True
+        if message.head_complete:
+            return
         lower = name.lower()
         header_names = self.header_names
         if lower in CONNECTION_HEADERS:
@@ -229,6 +235,9 @@
                 message.deadline_ms = value
             return
         if lower == header_names.attempt:
+            # Targets name one request in a response; callers may repeat it.
+            if self.kind is memoryaccount.Kind.RESPONSE:
+                value = _combine(message.attempt_id, value)
             message.attempt_id = value
         elif lower == b'host':
             message.host = value
@@ -236,7 +245,7 @@
         elif lower == header_names.signature:
             message.signed = True
         elif lower == header_names.not_run:
-            message.not_run = True
+            message.not_run = _combine(message.not_run, value)
         elif lower == b'content-encoding':
             message.content_encoded = True
         elif lower == header_names.rate_limit:
@@ -274,6 +283,7 @@
             self.resumed = None
             return
         message = self.message
+        message.head_complete = True
         if message.nominated_headers:
             _drop_nominated_headers(message)
         length = self.expected_length(message)
--- a/src/peridotpost/proxy/upstream.py
+++ b/src/peridotpost/proxy/upstream.py
@@ -32,6 +32,7 @@
 connection costs a millisecond."""
 IDLE_TIMEOUT_SHARE = 0.7
 """Largest part of the stated idle timeout that is used."""
+NOT_RUN = b'1'
 NO_BODY = frozenset({204, 304})
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_OTHER_ANSWERS = 16
@@ -192,6 +193,13 @@
         if order is None or self.outcome is not None:
             self.reusable = False
             return
+        if message.spliced:
+            # Which of the two the id belongs to can't be told.
+            self.reusable = False
+            self.outcome = forwarding.ResponseLost(
+                'answer within another answer'
+            )
+            return
         proof = self._proof(message, order)
         if proof is None:
             # A second response to an earlier request; the response to the
@@ -342,6 +350,11 @@
         self.connections.clear()
 
 
+def states_not_run(message: http1.Message) -> bool:
+    """Whether a response states that the target did not run the request."""
+    return message.status >= 400 and message.not_run.strip() == NOT_RUN
+
+
 def classify_response(
     message: http1.Message, proof: forwarding.Proof
 ) -> forwarding.Outcome:
@@ -350,8 +363,8 @@
     :param proof: what shows that it is the response to the request.
     """
     status = message.status
-    if message.spliced:
-        return forwarding.ResponseLost('answer within another answer')
+    if message.not_run and not states_not_run(message):
+        return forwarding.ResponseLost('statement "not run" is not valid')
     if message.not_run or status == 421:
         reason = forwarding.Refusal.SHED
         if status == 421:
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -314,6 +314,39 @@
     )
 
 
+def _contradictory_response(worker: Worker, request: Request) -> bytes:
+    """Run the request, and say in the form of the query that it has not run.
+
+    No form is a statement: it is in a success, has another value, is repeated
+    with another value, or is in a trailer.
+    """
+    form = parse.parse_qs(request.target.partition('?')[2])['form'][0]
+    failed = worker.render_response(request).replace(b'200 OK', b'500 Failed')
+    statement = b'X-Not-Executed: 1\r\n'
+    if form == 'success':
+        failed = worker.render_response(request)
+    elif form == 'value':
+        statement = b'X-Not-Executed: 0\r\n'
+    elif form == 'repeated':
+        statement += b'X-Not-Executed: 0\r\n'
+    elif form == 'trailer':
+        return failed.replace(
+            b'Content-Length: 4\r\n\r\ndone',
+            b'Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n'
+            + statement
+            + b'\r\n',
+        )
+    return failed.replace(b'Content-Length', statement + b'Content-Length')
+
+
+def _two_ids_response(worker: Worker, request: Request) -> bytes:
+    """Precede the response by a rejection that also names another request."""
+    rejection = worker.render_rejection(request).replace(
+        b'X-Attempt-Id', b'X-Attempt-Id: other\r\nX-Attempt-Id'
+    )
+    return rejection + worker.render_response(request)
+
+
 def _rejection_without_id_first(worker: Worker, request: Request) -> bytes:
     """Precede the response by a rejection that names no request."""
     return REJECTION + worker.render_response(request)
@@ -437,6 +470,8 @@
     'broken-first': _respond_with(_broken_response_first, True),
     'foreign-first': _respond_with(_other_response_first, True),
     'own-status': _respond_with(_failure_with_status, True),
+    'contradiction': _respond_with(_contradictory_response, True),
+    'two-ids-first': _respond_with(_two_ids_response, True),
     'unnamed-first': _respond_with(_rejection_without_id_first, True),
     'rejects-then-copies': _reject_then_copy,
 }
--- a/testing/test_advertisements.py
+++ b/testing/test_advertisements.py
@@ -39,7 +39,7 @@
             id='limit in a failure without signature',
         ),
         pytest.param(
-            http1.Message(rate_limit=b'0', not_run=True),
+            http1.Message(rate_limit=b'0', not_run=b'1'),
             SHED,
             named(0.0),
             id='limit of zero in a refusal',
@@ -51,7 +51,7 @@
             id='leaving',
         ),
         pytest.param(
-            http1.Message(leaving=b'1', rate_limit=b'2', not_run=True),
+            http1.Message(leaving=b'1', rate_limit=b'2', not_run=b'1'),
             SHED,
             Stated(leaving=True, limit_per_s=2.0),
             id='both',
--- a/testing/test_promises.py
+++ b/testing/test_promises.py
@@ -72,6 +72,34 @@
         assert ran.count('w1') == 1
 
 
+@pytest.mark.parametrize(
+    ('form', 'status'),
+    [('success', 502), ('value', 502), ('repeated', 502), ('trailer', 500)],
+)
+async def test_statement_that_is_not_valid_proves_nothing(
+    form: str, status: int
+) -> None:
+    """Guards against a run request that counts as rejected.
+
+    Only a failure with one header of the value 1 states that a request has
+    not run; a trailer is no header.
+    """
+    async with proxies.pair() as (_, first, second):
+        answer = await first.ask(f'/write/contradiction?form={form}', **WRITE)
+        assert answer.status == status
+        ran = first.worker.attempts() + second.worker.attempts()
+        assert ran == ['w1']
+
+
+async def test_response_with_two_ids_is_not_that_of_the_request() -> None:
+    """Guards against a head that names the request among others."""
+    async with proxies.pair() as (_, first, second):
+        answer = await first.ask('/write/two-ids-first', **WRITE)
+        assert (answer.status, answer.body) == (200, b'done')
+        ran = first.worker.attempts() + second.worker.attempts()
+        assert ran == ['w1']
+
+
 async def test_target_that_omits_ids_is_believed_on_new_connections() -> None:
     """Guards against rejections that are waited for until the deadline."""
     async with proxies.running() as mesh:
