Responses of the store that begin early are not continued

A surplus response of the store, or its beginning, on a kept connection was joined with the response to the next call (that call failed; an interim response would have counted as the response).

The client now closes a connection that has bytes while no call is under way, does not use again one on which a second response has begun, and skips interim responses. test_surplus_response_of_the_store... failed before and passes.

A response without a length that ends after its head is whole by HTTP unless it was reset.

--- a/src/peridotpost/proxy/client.py
+++ b/src/peridotpost/proxy/client.py
@@ -47,21 +47,30 @@
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        if self.waiter is None:
+            # No call is under way; it would be read as the next response.
+            self.close()
+            return
         try:
             self.reader.feed(self.parser, data)
         except (httptools.HttpParserError, http1.TooLarge):
             self.close()
+        if self.waiter is None and self.reader.in_progress:
+            # A second response has begun.
+            self.reusable = False
 
     def head_read(self, message: http1.Message) -> None:
         self.reusable = self.parser.should_keep_alive() and message.framed
 
     def message_read(self, message: http1.Message) -> None:
+        status = self.parser.get_status_code()
+        if status < 200:
+            return
         waiter = self.waiter
         self.waiter = None
         if waiter is None:
             self.close()
         elif not waiter.done():
-            status = self.parser.get_status_code()
             waiter.set_result(Response(status, bytes(message.body)))
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import socket
+import struct
 from urllib import parse
 
 
@@ -31,6 +33,9 @@
 REJECTION = (
     b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 )
+FAILURE = b'HTTP/1.1 503 Failed\r\nContent-Length: 0\r\n\r\n'
+"""Responses that name no request; the first states that it was not run."""
+LATE_S = 0.003
 
 
 class Worker:
@@ -66,7 +71,7 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.reset_on_next_request: set[asyncio.StreamWriter] = set()
-        self.rejecting_writers: set[asyncio.StreamWriter] = set()
+        self.rejected_on: set[tuple[asyncio.StreamWriter, str]] = set()
 
     def attempts(self) -> list[str]:
         return [one.attempt for one in self.runs]
@@ -121,8 +126,9 @@
             self.forced_action
             or request.target.partition('?')[0].rpartition('/')[2]
         )
-        if self.sheds or action == 'shed':
+        if self._rejects(request, action):
             self.rejected.append(request)
+            self.rejected_on.add((writer, request.attempt))
             writer.write(self.render_rejection(request))
             return True
         self.runs.append(request)
@@ -135,6 +141,14 @@
         finally:
             self.running -= 1
 
+    def _rejects(self, request: Request, action: str) -> bool:
+        """Whether to reject a request; see ``rejects-then-copies``."""
+        if action == 'rejects-then-copies':
+            return not any(
+                one.attempt == request.attempt for one in self.rejected
+            )
+        return self.sheds or action == 'shed'
+
     async def _read_request(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> Request:
@@ -272,9 +286,17 @@
 
 
 def _response_without_length(worker: Worker, request: Request) -> bytes:
-    return worker.render_response(request).replace(
-        b'Content-Length: 4\r\n', b''
-    )
+    head, _, body = worker.render_response(request).partition(b'\r\n\r\n')
+    length = b'\r\nContent-Length: %d' % len(body)
+    return head.replace(length, b'') + b'\r\n\r\n' + body
+
+
+def _chunked_response(worker: Worker, request: Request) -> bytes:
+    head, _, body = worker.render_response(request).partition(b'\r\n\r\n')
+    length = b'Content-Length: %d' % len(body)
+    return head.replace(
+        length, b'Trailer: X-Sum\r\nTransfer-Encoding: chunked'
+    ) + (b'\r\n\r\n%x\r\n%b\r\n0\r\nX-Sum: 1\r\n\r\n' % (len(body), body))
 
 
 def _extra_response(worker: Worker, request: Request) -> bytes:
@@ -352,30 +374,75 @@
     return REJECTION + worker.render_response(request)
 
 
-async def _reject_then_copy(
+async def _copy_rejection_first(
     worker: Worker,
     request: Request,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> bool:
-    """Reject the first dispatch of an attempt, and run the second one.
+    """Precede the response by a copy of the rejection of the same attempt.
 
-    A copy of the rejection comes late on the connection of the first.
+    Only on the connection on which it was rejected.
     """
-    rejection = worker.render_rejection(request)
-    if not any(one.attempt == request.attempt for one in worker.rejected):
-        worker.runs.remove(request)
-        worker.rejected.append(request)
-        worker.rejecting_writers.add(writer)
-        writer.write(rejection)
-        return True
-    if writer in worker.rejecting_writers:
-        writer.write(rejection)
+    if (writer, request.attempt) in worker.rejected_on:
+        writer.write(worker.render_rejection(request))
         await writer.drain()
     writer.write(worker.render_response(request))
     return True
 
 
+def _add_late(render: Callable[[Request], bytes]) -> Action:
+    """Return an action that responds, and adds bytes a little later."""
+
+    async def act(
+        worker: Worker,
+        request: Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(worker.render_response(request))
+        await writer.drain()
+        asyncio.get_running_loop().call_later(
+            LATE_S, _write_if_open, writer, render(request)
+        )
+        return True
+
+    return act
+
+
+def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
+def _cut_response(
+    render: Callable[[Worker, Request], bytes], resets: bool
+) -> Action:
+    """Return an action that sends as many bytes as the query says, at most.
+
+    It ends the connection then.
+    """
+
+    async def act(
+        worker: Worker,
+        request: Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        query = parse.parse_qs(request.target.partition('?')[2])
+        writer.write(render(worker, request)[: int(query['bytes'][0])])
+        await writer.drain()
+        if resets:
+            # Closing with a linger time of zero resets the connection.
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            writer.transport.abort()
+        return False
+
+    return act
+
+
 def _endless(head: bytes, part: bytes) -> Action:
     """Return an action that sends parts until the connection is closed."""
 
@@ -473,10 +540,23 @@
     'contradiction': _respond_with(_contradictory_response, True),
     'two-ids-first': _respond_with(_two_ids_response, True),
     'unnamed-first': _respond_with(_rejection_without_id_first, True),
-    'rejects-then-copies': _reject_then_copy,
+    'rejects-then-copies': _copy_rejection_first,
+    'adds-rejection': _add_late(lambda request: REJECTION),
+    'adds-failure': _add_late(lambda request: FAILURE),
 }
 
 
+RENDERED: dict[str, Callable[[Worker, Request], bytes]] = {
+    'framed': lambda worker, request: worker.render_response(request),
+    'chunked': _chunked_response,
+    'unframed': _response_without_length,
+}
+"""A whole response for each way to delimit a body."""
+ACTIONS |= {
+    f'cut-{form}{ending}': _cut_response(render, bool(ending))
+    for form, render in RENDERED.items()
+    for ending in ('', '-reset')
+}
 ACTIONS |= {
     f'endless-{name.replace(" ", "-")}': action
     for name, action in ENDLESS_ANSWERS.items()
