A settled order does not start

Not seen with processes: between the end of one run and the start of the next, callbacks run; an order cancelled by one of them was reported as not run and started all the same. The guard now gives its slot on.

--- a/src/peridotpost/proxy/guard.py
+++ b/src/peridotpost/proxy/guard.py
@@ -327,6 +327,12 @@
         return order in self.connecting or order in self.awaiting_body
 
     def _start(self, order: forwarding.Order) -> None:
+        if order.settled:
+            # It was cancelled after it got a slot, and its caller was told
+            # that it has not run.
+            self.expiries.clear(order)
+            self._apply_verdict(self.queue.release(order, deadlines.now()))
+            return
         self.expiries.set(order.deadline + DEADLINE_SLACK_S, order)
         if order.fetch_body is not None:
             self.awaiting_body.add(order)
