The number of an order of an earlier stream cancels nothing

Found by reading, not seen with processes: withdraw sent the order's number on the peer's present stream, where another order may have it. Streams settle their orders when they end, so today's callers are not affected; the number now stands for the order only on its own stream.

--- a/src/peridotpost/proxy/peers.py
+++ b/src/peridotpost/proxy/peers.py
@@ -213,7 +213,13 @@
         return bool(self.offered or self.write_queue or self.backlog)
 
     def withdraw(self, order: forwarding.Order) -> None:
-        """Tell the peer that the outcome of `order` is no longer needed."""
+        """Tell the peer that the outcome of `order` is no longer needed.
+
+        Does nothing if it was sent on an earlier stream, where another order
+        had its number.
+        """
+        if self.sent_orders.get(order.number) is not order:
+            return
         self.send(frames.Cancel(order.number))
         if order.number in self.pulls:
             # The peer has settled the order already.
--- a/testing/test_peer_streams.py
+++ b/testing/test_peer_streams.py
@@ -11,6 +11,7 @@
 from peridotpost.proxy import frames
 from peridotpost.proxy import peers
 from testing import conditions
+from testing import orders
 from testing import proxies
 
 
@@ -49,6 +50,42 @@
         assert first.worker.attempts() == ['d902']
 
 
+async def test_order_of_an_earlier_stream_cancels_nothing() -> None:
+    """Guards against cancelling another order that has its number."""
+    async with proxies.pair() as (_, first, _second):
+        stream = first.proxy.directory.peers['b'].stream
+        assert stream is not None
+        await conditions.until(lambda: not stream.flush_scheduled)
+        stream.sent_orders[7] = orders.order(7)
+        stream.withdraw(orders.order(7))
+        assert not stream.write_queue
+        stream.withdraw(stream.sent_orders.pop(7))
+
+
+async def test_cancelled_order_does_not_start_when_its_slot_is_free() -> None:
+    """Guards against running a request that was reported as not run.
+
+    It is cancelled between the end of the run before it and its own start.
+    """
+    async with proxies.saturated_host() as host:
+        guard = host.proxy.guard
+        outcomes: list[forwarding.Outcome] = []
+        waiting = orders.order(2, deadlines.now(), 1, 5.0, 5.0)
+        waiting.attempt_id = b'w1'
+        waiting.done = outcomes.append
+        guard.submit(waiting)
+        guard.run_ended.subscribe(
+            lambda end: waiting.settle(
+                forwarding.Refused(forwarding.Refusal.WITHDRAWN)
+            )
+        )
+        host.worker.release.set()
+        await conditions.until(lambda: guard.has_no_work)
+        assert isinstance(outcomes[0], forwarding.Refused)
+        assert host.worker.attempts() == ['holds']
+        assert (await host.ask('/read/ok', attempt='r2')).status == 200
+
+
 async def test_reads_leave_a_silent_peer_before_writes_do() -> None:
     """A connection goes silent permanently while new ones work.
 
