The soak has targets that answer badly

--bad-answers: a quarter of the requests ask for own 408, 429 or 503 after a run, rejections and failures without an id 3 ms after a whole response, late copies of rejections, statements that contradict the response, two ids, and responses cut or joined.

Why the soak missed the faults: 'a rejected request has not run' excused answers with a target's signature, and no target gave such answers. The check is stricter now.

--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -37,6 +37,12 @@
     is_flag=True,
     help='Some messages are as large as allowed; some callers read slowly.',
 )
+@click.option(
+    '--bad-answers',
+    'with_bad_answers',
+    is_flag=True,
+    help='Targets also answer with false or late rejections.',
+)
 @click.option('--seconds', default=20.0, help='Duration of fault injection.')
 @click.option(
     '--folder',
@@ -51,6 +57,7 @@
     statements: bool,
     with_customers: bool,
     with_large_bodies: bool,
+    with_bad_answers: bool,
     seconds: float,
     folder: pathlib.Path,
 ) -> None:
@@ -75,6 +82,7 @@
                 statements,
                 with_customers,
                 with_large_bodies,
+                with_bad_answers,
             )
         )
         click.echo(
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -42,6 +42,25 @@
     'unframed',
 )
 """Target faults that a request can ask for; see ``standins.worker``."""
+BAD_ANSWER_PROBABILITY = 0.25
+BAD_ANSWERS = (
+    ('own-status', 'status=503'),
+    ('own-status', 'status=429'),
+    ('own-status', 'status=408'),
+    ('adds-rejection', ''),
+    ('adds-failure', ''),
+    ('rejects-then-copies', ''),
+    ('two-ids-first', ''),
+    ('contradiction', 'form=success'),
+    ('contradiction', 'form=value'),
+    ('contradiction', 'form=repeated'),
+    ('second-breaks-off', 'bytes=30'),
+    ('broken-first', 'bytes=45'),
+    ('cut-framed', 'bytes=40'),
+    ('cut-chunked-reset', 'bytes=60'),
+)
+"""Actions of targets that bear on what counts as not run, and their queries;
+drawn in addition to the others, by a generator of their own."""
 
 
 class Caller:
@@ -55,6 +74,7 @@
         rng: random.Random,
         request_numbers: 'itertools.count[int]',
         sizes: large_bodies.LargeBodies | None = None,
+        bad_answers: random.Random | None = None,
     ) -> None:
         self.host = host
         self.observed = observed
@@ -62,6 +82,7 @@
         self.rng = rng
         self.request_numbers = request_numbers
         self.sizes = sizes
+        self.bad_answers = bad_answers
 
     async def run_until(self, stop: asyncio.Event) -> None:
         while not stop.is_set():
@@ -124,6 +145,12 @@
         number = next(self.request_numbers)
         work_ms = self.rng.randint(1, MAX_WORK_MS)
         query = f'ms={work_ms}&n={number}'
+        if (
+            self.bad_answers is not None
+            and self.bad_answers.random() < BAD_ANSWER_PROBABILITY
+        ):
+            action, details = self.bad_answers.choice(BAD_ANSWERS)
+            query += f'&{details}' if details else ''
         identity: dict[str, Any] = {}
         if self.shared.customers is not None:
             identity = self.shared.customers.pick(self.rng)
@@ -237,6 +264,7 @@
     :param retry_abuse: callers retry rejected requests immediately.
     :param customers: None in a run without customers.
     :param large_bodies: whether some bodies are as large as allowed.
+    :param bad_answers: whether requests also ask for ``BAD_ANSWERS``.
     """
 
     def __init__(self) -> None:
@@ -244,6 +272,7 @@
         self.retry_abuse = False
         self.customers: customers.Customers | None = None
         self.large_bodies = False
+        self.bad_answers = False
 
     def pick_version(self, rng: random.Random) -> int:
         return max(1, self.version - rng.randint(0, 4))
--- a/testing/soak/invariants.py
+++ b/testing/soak/invariants.py
@@ -160,12 +160,7 @@
     for request in history.observed.requests:
         runs = history.runs[request.attempt]
         once = request.kind is records.Kind.ONCE
-        if (
-            once
-            and runs
-            and request.status in NOT_RUN_STATUSES
-            and not request.proof
-        ):
+        if once and runs and request.status in NOT_RUN_STATUSES:
             yield Violation(
                 'a rejected request has not run',
                 request.ended,
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -78,6 +78,7 @@
     statements: bool = False,
     with_customers: bool = False,
     with_large_bodies: bool = False,
+    with_bad_answers: bool = False,
 ) -> RunResult:
     """Run a seed; the logs of the processes are written to `folder`.
 
@@ -88,6 +89,7 @@
         ``plan.generate_customer_changes``.
     :param with_large_bodies: some messages are as large as allowed, some
         callers read slowly, and daemons have little memory.
+    :param with_bad_answers: targets also give ``callers.BAD_ANSWERS``.
     """
     # Targets inherit these dispositions.  Without them, a target that is
     # signalled to shed before it has installed its handlers would exit.
@@ -100,6 +102,7 @@
     kv = kv_standin.KvStore()
     shared = callers.SharedState()
     shared.large_bodies = with_large_bodies
+    shared.bad_answers = with_bad_answers
     names = [f'h{number}' for number in range(1, len(LAYOUT) + 1)]
     fault_plan = plan.generate_faults(seed, seconds, names)
     if fleet_faults:
@@ -198,6 +201,9 @@
                 )
                 if env.shared.large_bodies
                 else None,
+                random.Random(f'{seed} {name} {index} answers')
+                if env.shared.bad_answers
+                else None,
             ).run_until(stop)
         )
         for name, host in env.fleet.items()
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -136,6 +136,12 @@
             'rejected request has not run',
             id='rejected and ran',
         ),
+        pytest.param(
+            make_request(status=503),
+            [make_execution()],
+            'rejected request has not run',
+            id='rejected with a signature and ran',
+        ),
         pytest.param(
             make_request(),
             [make_execution(remaining_ms=1600)],
@@ -445,6 +451,11 @@
             {'with_large_bodies': True},
             id='large bodies and slow readers',
         ),
+        # Targets' own 503, late rejections without an id and late copies of
+        # rejections were taken for "not run".
+        pytest.param(
+            513353729, 12.0, {'with_bad_answers': True}, id='bad-answers'
+        ),
         # The store hung; watches sent meanwhile were lost, so that new
         # versions were in force seconds late on all hosts.
         pytest.param(382471730, 20.0, {}, id='watches lost in an outage'),
