--- a/testing/test_cut_responses.py
+++ b/testing/test_cut_responses.py
@@ -8,7 +8,7 @@
 from peridotpost.model import forwarding
 from peridotpost.proxy import client
 from peridotpost.proxy import frames
-from testing import conditions
+from peridotpost.proxy import peers
 from testing import orders
 from testing import proxies
 from testing.standins import worker as worker_standin
@@ -78,14 +78,9 @@
     async with proxies.pair() as (_, first, _second):
         outcomes: list[forwarding.Outcome] = []
         for size in range(len(raw)):
-            await conditions.until(
-                lambda: first.proxy.directory.peers['b'].stream is not None
-            )
-            stream = first.proxy.directory.peers['b'].stream
-            assert stream is not None
+            stream = peers.PeerStream(first.proxy.directory, first.proxy.guard)
             order = orders.order(1)
             order.done = outcomes.append
-            stream.reader = frames.FrameReader()
             stream.sent_orders[1] = order
             stream.data_received(raw[:size])
             stream.connection_lost(None)
